Serve callers on a shared platform: the whole path, thin

Adds sesamed serve: the operator's document and the list of targets by feed, routes, keys, attempts, streams with resumption, drain and readiness. platform/ holds the translation and the only copy of the wire's names.

--- /dev/null
+++ b/cmd/sesamed/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // links the program to the C library, as the platform's machines need
--- a/cmd/sesamed/main.go
+++ b/cmd/sesamed/main.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	sesamed run -settings FILE
+//	sesamed serve [-settings FILE]
 //	sesamed demo [-listen 127.0.0.1:8080] [-admin 127.0.0.1:8081]
 //	sesamed version
 //
@@ -29,6 +30,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&demoCommand{}, "")
 	subcommands.Register(&versionCommand{}, "")
 	flag.Parse()
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,399 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// returnGrace is how long a lapsed entry may take to come back after the list
+	// can be read again; the platform promises two seconds.
+	returnGrace = 1900 * time.Millisecond
+	// riskHalf is the time in which the memory of failures halves.
+	riskHalf = 2 * time.Second
+	// riskStep is the weight of the newest outcome.
+	riskStep = 0.3
+	// firstDown and maxDown bound how long a target that refuses connections is
+	// passed over.
+	firstDown = 250 * time.Millisecond
+	maxDown   = 2 * time.Second
+	// othersHalf is the time in which the reported load of other hosts halves.
+	othersHalf = 700 * time.Millisecond
+	// versionGrace is how long a weight version learned from a reply goes before
+	// an older one in the list, which lags.
+	versionGrace = 4 * time.Second
+)
+
+// Target is an entry of the platform's list.
+type Target struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	Leaving bool   `json:"leaving"`
+	// Born is the Unix millisecond of the target's start.
+	Born int64 `json:"born"`
+	// Cold is how much longer the target stays slow after its start.
+	Cold time.Duration `json:"cold"`
+	// Versions are the weight versions by model.
+	Versions map[string]int `json:"versions"`
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// Outcomes of an attempt.
+const (
+	// Served means that the target answered.
+	Served Outcome = iota
+	// Refused means that the target said that it did not run the request.
+	Refused
+	// Failed means that the target broke off, stayed silent or sent bytes that
+	// are no answer.
+	Failed
+	// Unreachable means that no connection came about.
+	Unreachable
+	// Left means that the caller went away.
+	Left
+)
+
+// Load is a target's own report: requests running and waiting, and its places.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Status is a target with what the host knows about it.
+type Status struct {
+	Target
+	// Calls and Tokens are this host's in flight.
+	Calls  int `json:"calls"`
+	Tokens int `json:"tokens"`
+	// Others is the estimate of the calls of other hosts.
+	Others float64 `json:"others"`
+	// Waiting is the number of requests that waited at the last report.
+	Waiting int `json:"waiting"`
+	// Risk is the share of attempts that failed lately.
+	Risk float64 `json:"risk"`
+	// Down targets refused a connection a moment ago.
+	Down bool `json:"down"`
+}
+
+type state struct {
+	Target
+	calls, tokens int
+	others        float64
+	othersAt      time.Duration
+	waiting       int
+	risk          float64
+	riskAt        time.Duration
+	downUntil     time.Duration
+	downs         int
+	// learned holds versions that replies stated, with the time.
+	learned   map[string]int
+	learnedAt time.Duration
+	// lapsed is the time at which a held entry is dropped; zero if it is listed.
+	lapsed time.Duration
+	seen   time.Duration
+}
+
+// Option changes a default of New.
+type Option func(*Fleet)
+
+// WithClock sets the clock, which counts suspensions of the machine.
+func WithClock(now func() time.Duration) Option { return func(f *Fleet) { f.now = now } }
+
+// WithChanged sets a function that is called after each change of belief. It
+// must not call the fleet.
+func WithChanged(c func(Change)) Option { return func(f *Fleet) { f.changed = c } }
+
+// Change is a change of belief about one target.
+type Change struct {
+	Target Target
+	What   string
+}
+
+// Fleet is the set of targets. It is safe for concurrent use.
+type Fleet struct {
+	mu       sync.Mutex
+	now      func() time.Duration
+	changed  func(Change)
+	targets  map[string]*state
+	services map[string][]*state
+	// graceEnd is the end of the time in which lapsed entries may return.
+	graceEnd time.Duration
+}
+
+// New returns an empty fleet.
+func New(opts ...Option) *Fleet {
+	f := &Fleet{now: wire.Boot, changed: func(Change) {}, targets: map[string]*state{}}
+	for _, o := range opts {
+		o(f)
+	}
+	f.group()
+	return f
+}
+
+// Begin notes an attempt with a number of tokens. The function that it returns
+// notes the end; only its first call counts.
+func (f *Fleet) Begin(id string, tokens int) func(Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok {
+		return func(Outcome) {}
+	}
+	s.calls++
+	s.tokens += tokens
+	var once sync.Once
+	return func(o Outcome) {
+		once.Do(func() { f.end(s, tokens, o) })
+	}
+}
+
+func (f *Fleet) end(s *state, tokens int, o Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	s.calls--
+	s.tokens -= tokens
+	switch o {
+	case Served:
+		s.note(0, now)
+		s.downs, s.downUntil = 0, 0
+	case Failed:
+		s.note(1, now)
+	case Unreachable:
+		s.note(1, now)
+		s.downs++
+		s.downUntil = now + min(firstDown<<min(s.downs-1, 3), maxDown)
+		f.changed(Change{Target: s.Target, What: "unreachable"})
+	}
+}
+
+// Get returns a target.
+func (f *Fleet) Get(id string) (Status, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok {
+		return Status{}, false
+	}
+	return s.status(f.now()), true
+}
+
+// Learn notes the weight version that a target stated in a reply.
+func (f *Fleet) Learn(id, model string, version int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok || model == "" || s.version(model, f.now()) == version {
+		return
+	}
+	s.learned = map[string]int{model: version}
+	s.learnedAt = f.now()
+	f.changed(Change{Target: s.Target, What: "weights"})
+}
+
+// Put adds or replaces a target. An entry of an earlier start is ignored.
+func (f *Fleet) Put(t Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.put(t)
+	f.group()
+}
+
+func (f *Fleet) put(t Target) {
+	old, ok := f.targets[t.ID]
+	switch {
+	case !ok:
+		f.targets[t.ID] = &state{Target: t, seen: f.now()}
+		f.changed(Change{Target: t, What: "listed"})
+		return
+	case t.Born < old.Born:
+		return
+	case t.Born > old.Born || t.Address != old.Address:
+		f.targets[t.ID] = &state{Target: t, seen: f.now()}
+		f.changed(Change{Target: t, What: "restarted"})
+		return
+	}
+	if t.Leaving && !old.Leaving {
+		f.changed(Change{Target: t, What: "leaving"})
+	}
+	old.Target, old.lapsed = t, 0
+}
+
+// Remove drops a target that is no longer listed.
+func (f *Fleet) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drop(id)
+	f.group()
+}
+
+func (f *Fleet) drop(id string) {
+	s, ok := f.targets[id]
+	if !ok {
+		return
+	}
+	if now := f.now(); now < f.graceEnd && !s.Leaving {
+		if s.lapsed == 0 {
+			s.lapsed = f.graceEnd
+			f.changed(Change{Target: s.Target, What: "lapsed"})
+		}
+		return
+	}
+	delete(f.targets, id)
+	f.changed(Change{Target: s.Target, What: "gone"})
+}
+
+// Replace sets the whole list.
+func (f *Fleet) Replace(listed []Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	present := make(map[string]bool, len(listed))
+	for _, t := range listed {
+		present[t.ID] = true
+		f.put(t)
+	}
+	for id := range f.targets {
+		if !present[id] {
+			f.drop(id)
+		}
+	}
+	f.group()
+}
+
+// Regained says that the list can be read again after an outage.
+func (f *Fleet) Regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.graceEnd = f.now() + returnGrace
+}
+
+// Report notes a load report of a target, taken while this host had the calls
+// that it has now.
+func (f *Fleet) Report(id string, l Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok {
+		return
+	}
+	now := f.now()
+	others := math.Max(float64(l.Running+l.Waiting-s.calls), 0)
+	s.others = (s.otherCalls(now) + others) / 2
+	s.othersAt = now
+	s.waiting = l.Waiting
+}
+
+// Serving returns the targets of a service that take requests, by ID.
+func (f *Fleet) Serving(service string) []Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.expire(now)
+	list := f.services[service]
+	out := make([]Status, 0, len(list))
+	for _, s := range list {
+		if !s.Leaving {
+			out = append(out, s.status(now))
+		}
+	}
+	return out
+}
+
+// All returns every target by ID.
+func (f *Fleet) All() []Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.expire(now)
+	out := make([]Status, 0, len(f.targets))
+	for _, s := range f.targets {
+		out = append(out, s.status(now))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// expire drops lapsed entries whose time to return is over.
+func (f *Fleet) expire(now time.Duration) {
+	dropped := false
+	for id, s := range f.targets {
+		if s.lapsed != 0 && now >= s.lapsed {
+			delete(f.targets, id)
+			f.changed(Change{Target: s.Target, What: "gone"})
+			dropped = true
+		}
+	}
+	if dropped {
+		f.group()
+	}
+}
+
+// group rebuilds the lists by service.
+func (f *Fleet) group() {
+	f.services = map[string][]*state{}
+	for _, s := range f.targets {
+		f.services[s.Service] = append(f.services[s.Service], s)
+	}
+	for _, list := range f.services {
+		slices.SortFunc(list, func(a, b *state) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (s *state) status(now time.Duration) Status {
+	st := Status{
+		Target: s.Target, Calls: s.calls, Tokens: s.tokens, Others: s.otherCalls(now),
+		Waiting: s.waiting, Risk: s.riskNow(now), Down: now < s.downUntil,
+	}
+	if s.learned != nil && now-s.learnedAt < versionGrace {
+		st.Versions = make(map[string]int, len(s.Versions))
+		for m, v := range s.Versions {
+			st.Versions[m] = v
+		}
+		for m, v := range s.learned {
+			st.Versions[m] = max(v, st.Versions[m])
+		}
+	}
+	return st
+}
+
+func (s *state) version(model string, now time.Duration) int {
+	v := s.Versions[model]
+	if now-s.learnedAt < versionGrace {
+		v = max(v, s.learned[model])
+	}
+	return v
+}
+
+func (s *state) otherCalls(now time.Duration) float64 {
+	return s.others * math.Exp2(-float64(now-s.othersAt)/float64(othersHalf))
+}
+
+func (s *state) riskNow(now time.Duration) float64 {
+	return s.risk * math.Exp2(-float64(now-s.riskAt)/float64(riskHalf))
+}
+
+func (s *state) note(fail float64, now time.Duration) {
+	s.risk = s.riskNow(now)*(1-riskStep) + fail*riskStep
+	s.riskAt = now
+}
+
+// Len returns the number of targets.
+func (f *Fleet) Len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.targets)
+}
--- /dev/null
+++ b/internal/front/beliefs.go
@@ -0,0 +1,159 @@
+package front
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/gate"
+	"sesamehill.example/sesamehill/internal/site"
+)
+
+// Decoder reads rows of the platform's tables.
+type Decoder interface {
+	Site(value []byte) (*site.Site, error)
+	Target(id string, value []byte) (fleet.Target, error)
+	// Weights returns false for rows that name no weights.
+	Weights(key string, value []byte) (model string, version int, ok bool)
+	// SiteKey is the key of the operator's document.
+	SiteKey() string
+}
+
+// operator follows the operator's table: the document and named weights.
+type operator struct {
+	decode Decoder
+	gate   *gate.Gate
+	log    *zap.Logger
+	known  atomic.Bool
+	onSite func(*site.Site)
+
+	mu    sync.Mutex
+	named map[string]named
+}
+
+// named is a weight version and when this host learned of it.
+type named struct {
+	Version int       `json:"version"`
+	At      time.Time `json:"at"`
+}
+
+func (o *operator) Listed(rows []feed.Row) { o.Changed(rows) }
+
+func (o *operator) Changed(rows []feed.Row) {
+	for _, r := range rows {
+		if r.Removed {
+			continue
+		}
+		if r.Key == o.decode.SiteKey() {
+			o.site(r)
+			continue
+		}
+		if model, version, ok := o.decode.Weights(r.Key, r.Value); ok {
+			o.name(model, version)
+		}
+	}
+}
+
+func (o *operator) site(r feed.Row) {
+	s, err := o.decode.Site(r.Value)
+	if err != nil {
+		o.log.Warn("site not usable", zap.Uint64("row", r.Version), zap.Error(err))
+		return
+	}
+	if !o.gate.SetSite(s) {
+		return
+	}
+	o.onSite(s)
+	o.known.Store(true)
+	o.log.Info("site in force", zap.Uint64("site", s.Version), zap.Uint64("row", r.Version), zap.Int("routes", len(s.Routes)))
+}
+
+func (o *operator) name(model string, version int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.named[model].Version >= version {
+		return
+	}
+	o.named[model] = named{Version: version, At: time.Now()}
+	o.log.Info("weights named", zap.String("model", model), zap.Int("version", version))
+}
+
+func (o *operator) Lost(err error) {
+	o.log.Warn("dependency lost", zap.String("table", "operator"), zap.Error(err))
+}
+
+func (o *operator) Regained(after time.Duration) {
+	o.log.Info("dependency regained", zap.String("table", "operator"), zap.Duration("after", after))
+}
+
+// Named returns the newest weight version of a model; zero if none was named.
+func (o *operator) Named(model string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.named[model].Version
+}
+
+// Models returns the named versions.
+func (o *operator) Models() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[string]int, len(o.named))
+	for m, n := range o.named {
+		out[m] = n.Version
+	}
+	return out
+}
+
+// lister follows the list of targets.
+type lister struct {
+	decode Decoder
+	fleet  *fleet.Fleet
+	log    *zap.Logger
+	known  atomic.Bool
+}
+
+func (l *lister) Listed(rows []feed.Row) {
+	targets := make([]fleet.Target, 0, len(rows))
+	for _, r := range rows {
+		if t, ok := l.target(r); ok {
+			targets = append(targets, t)
+		}
+	}
+	l.fleet.Replace(targets)
+	l.known.Store(true)
+	l.log.Info("targets listed", zap.Int("targets", len(targets)), zap.Int("rows", len(rows)))
+}
+
+func (l *lister) Changed(rows []feed.Row) {
+	for _, r := range rows {
+		if r.Removed {
+			l.fleet.Remove(r.Key)
+			continue
+		}
+		if t, ok := l.target(r); ok {
+			l.fleet.Put(t)
+		}
+	}
+}
+
+func (l *lister) target(r feed.Row) (fleet.Target, bool) {
+	t, err := l.decode.Target(r.Key, r.Value)
+	if err != nil {
+		l.log.Warn("target entry not usable", zap.String("target", r.Key), zap.Error(err))
+		return t, false
+	}
+	return t, true
+}
+
+func (l *lister) Lost(err error) {
+	l.log.Warn("dependency lost", zap.String("table", "targets"), zap.Error(err))
+}
+
+func (l *lister) Regained(after time.Duration) {
+	l.fleet.Regained()
+	l.log.Info("dependency regained", zap.String("table", "targets"), zap.Duration("after", after))
+}
--- /dev/null
+++ b/internal/front/host.go
@@ -0,0 +1,169 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/gate"
+	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/table"
+	"sesamehill.example/sesamehill/internal/tree"
+)
+
+const (
+	// balancerLag is how long the balancer may go on sending new connections to a
+	// host that has stopped being ready: it asks once a second and waits for two
+	// misses.
+	balancerLag = 2500 * time.Millisecond
+	// exitMargin is left between the end of the drain and SIGKILL.
+	exitMargin = 700 * time.Millisecond
+)
+
+// Platform is what a host needs of its platform.
+type Platform interface {
+	Decoder
+	feed.Source
+	Codec() gate.Codec
+	// Table returns one of the product's own tables.
+	Table(name string) Table
+	// OperatorTable and TargetTable are the tables that the platform writes.
+	OperatorTable() string
+	TargetTable() string
+}
+
+// Table is a table of the product's own on the platform.
+type Table interface {
+	table.Table
+	// Put writes a row without a condition.
+	Put(ctx context.Context, key string, value []byte) error
+}
+
+// Option changes a default of New.
+type Option func(*Host)
+
+// WithLog sets the log.
+func WithLog(l *zap.Logger) Option { return func(h *Host) { h.log = l } }
+
+// Host is one entry host.
+type Host struct {
+	settings Settings
+	platform Platform
+	log      *zap.Logger
+	fleet    *fleet.Fleet
+	gate     *gate.Gate
+	operator *operator
+	lister   *lister
+	server   *server
+	poison   *poison.Tracker
+	leaving  atomic.Bool
+}
+
+// New returns a host that has not started.
+func New(s Settings, p Platform, opts ...Option) (*Host, error) {
+	if err := s.Check(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	h := &Host{settings: s, platform: p, log: zap.NewNop()}
+	for _, o := range opts {
+		o(h)
+	}
+	h.fleet = fleet.New(fleet.WithChanged(h.targetChanged))
+	h.poison = poison.New()
+	h.operator = &operator{decode: p, log: h.log, named: map[string]named{}, onSite: func(*site.Site) {}}
+	h.lister = &lister{decode: p, fleet: h.fleet, log: h.log}
+	h.gate = gate.New(
+		p.Codec(), h.fleet, gate.WithLog(h.log), gate.WithAllowance(s.allowance()),
+		gate.WithDistance(s.distance), gate.WithPoison(h.poison), gate.WithHosts(h.hosts),
+		gate.WithWeights(h),
+	)
+	h.operator.gate = h.gate
+	h.server = newServer(h.gate)
+	return h, nil
+}
+
+// Run serves until ctx ends, then drains.
+func (h *Host) Run(ctx context.Context) error {
+	h.log.Info("started", zap.String("front", h.settings.Front), zap.String("platform", h.settings.Platform))
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	context.AfterFunc(ctx, func() { h.drain(stop) })
+	t := tree.New("host", tree.WithLog(h.log), tree.WithStop(time.Second))
+	t.Add("operator", feed.NewWatch(h.platform, h.platform.OperatorTable(), h.operator).Run)
+	t.Add("targets", feed.NewWatch(h.platform, h.platform.TargetTable(), h.lister).Run)
+	t.Add("front", func(ctx context.Context) error { return h.server.Serve(ctx, h.settings.Front) })
+	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readiness()) })
+	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.admin()) })
+	t.Add("idle", h.sweepIdle)
+	return errors.Trace(t.Run(parts))
+}
+
+// drain stops being ready, lets the balancer notice, and waits for the requests
+// that were accepted.
+func (h *Host) drain(stop context.CancelFunc) {
+	defer stop()
+	h.leaving.Store(true)
+	h.gate.End()
+	h.log.Info("stopping", zap.Float64("grace", h.settings.Grace))
+	grace := time.Duration(h.settings.Grace * float64(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	defer cancel()
+	if err := pause.For(ctx, min(balancerLag, grace/2)); err != nil {
+		return
+	}
+	if err := h.server.drain(ctx); err != nil {
+		h.log.Warn("requests left at the end", zap.Error(err))
+		return
+	}
+	h.log.Info("stopped")
+}
+
+// Ready reports whether the host should get new connections.
+func (h *Host) Ready() bool {
+	return !h.leaving.Load() && h.operator.known.Load() && h.lister.known.Load() && h.fleet.Len() > 0
+}
+
+func (h *Host) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !h.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (h *Host) sweepIdle(ctx context.Context) error {
+	for {
+		if err := pause.For(ctx, sweepPeriod); err != nil {
+			return nil //nolint:nilerr // the end of ctx is the normal end
+		}
+		limit := defaultIdle
+		if s := h.gate.Site(); s != nil && s.Limits.IdleTimeout > 0 {
+			limit = s.Limits.IdleTimeout
+		}
+		h.server.sweep(limit)
+	}
+}
+
+func (h *Host) targetChanged(c fleet.Change) {
+	h.log.Info(
+		"target "+c.What, zap.String("target", c.Target.ID), zap.String("service", c.Target.Service),
+		zap.String("address", c.Target.Address), zap.String("zone", c.Target.Zone), zap.Int64("born", c.Target.Born),
+		zap.Any("weights", c.Target.Versions),
+	)
+}
+
+func (h *Host) hosts() int { return 8 }
+
+// Named returns the newest named weight version of a model.
+func (h *Host) Named(model string) int { return h.operator.Named(model) }
+
+// Loading reports whether a target is about to change its weights.
+func (h *Host) Loading(string) bool { return false }
--- /dev/null
+++ b/internal/front/settings.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/retry"
+)
+
+// Settings are the settings of one host.
+type Settings struct {
+	Name   string `toml:"name"`
+	IP     string `toml:"ip"`
+	Zone   string `toml:"zone"`
+	Region string `toml:"region"`
+	// Platform is the address of the platform's store.
+	Platform string `toml:"platform"`
+	// Front, Ready, Peer and Admin are the addresses to listen on.
+	Front   string `toml:"front"`
+	Ready   string `toml:"ready"`
+	Peer    string `toml:"peer"`
+	Admin   string `toml:"admin"`
+	Level   string `toml:"level"`
+	// Memory is the limit in megabytes.
+	Memory int64 `toml:"memory"`
+	// Grace is the time from SIGTERM to SIGKILL in seconds.
+	Grace float64 `toml:"grace"`
+	// Drain is how long a leaving target takes requests, in milliseconds.
+	Drain float64 `toml:"drain"`
+	// Lease is the time in which holders may not take turns, in milliseconds.
+	Lease float64 `toml:"lease"`
+	// Ratio, Slack and Window (seconds) bound the repeats of all hosts.
+	Ratio  float64 `toml:"ratio"`
+	Slack  float64 `toml:"slack"`
+	Window float64 `toml:"window"`
+	// Zones maps each availability zone to its region.
+	Zones map[string]string `toml:"zones"`
+}
+
+// SettingsError says what is wrong with the settings.
+type SettingsError struct {
+	Field   string
+	Problem string
+}
+
+// Error names the field and the remedy.
+func (e *SettingsError) Error() string {
+	return fmt.Sprintf("settings: %s %s; correct the template and start again", e.Field, e.Problem)
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "read the settings; name an existing file")
+	}
+	return ParseSettings(b)
+}
+
+// ParseSettings decodes and checks settings. Unknown fields are errors.
+func ParseSettings(b []byte) (Settings, error) {
+	var s Settings
+	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, &SettingsError{Field: "file", Problem: explain(err)}
+	}
+	return s, s.Check()
+}
+
+// explain shows where in the file decoding failed.
+func explain(err error) string {
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		return "cannot be decoded:\n" + decode.String()
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return "has unknown fields:\n" + strict.String()
+	}
+	return err.Error()
+}
+
+// Check returns a *SettingsError if a field is missing or out of range.
+func (s Settings) Check() error {
+	addresses := map[string]string{
+		"platform": s.Platform, "front": s.Front, "ready": s.Ready, "admin": s.Admin,
+	}
+	for field, a := range addresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return &SettingsError{Field: field, Problem: fmt.Sprintf("%q is not HOST:PORT", a)}
+		}
+	}
+	switch {
+	case s.Name == "":
+		return &SettingsError{Field: "name", Problem: "is empty"}
+	case s.Zone == "" || s.Zones[s.Zone] == "":
+		return &SettingsError{Field: "zone", Problem: fmt.Sprintf("%q is not one of zones", s.Zone)}
+	case s.Ratio < 0 || s.Slack < 0 || s.Window <= 0:
+		return &SettingsError{Field: "ratio, slack or window", Problem: "is negative or zero"}
+	case s.Grace <= 0:
+		return &SettingsError{Field: "grace", Problem: "is not positive"}
+	case s.Lease < 0:
+		return &SettingsError{Field: "lease", Problem: "is negative"}
+	}
+	if _, err := zap.ParseAtomicLevel(s.Level); err != nil {
+		return &SettingsError{Field: "level", Problem: fmt.Sprintf("%q is no log level", s.Level)}
+	}
+	return nil
+}
+
+func (s Settings) allowance() retry.Allowance {
+	return retry.Allowance{
+		Ratio: s.Ratio, Fixed: s.Slack, Window: time.Duration(s.Window * float64(time.Second)),
+	}
+}
+
+// distance returns how far a zone is from the host.
+func (s Settings) distance(zone string) place.Distance {
+	switch {
+	case zone == s.Zone:
+		return place.SameZone
+	case s.Zones[zone] == s.Region:
+		return place.SameRegion
+	}
+	return place.OtherRegion
+}
--- /dev/null
+++ b/internal/gate/attempt.go
@@ -0,0 +1,206 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+// ending is how an attempt left its request.
+type ending interface{ ending() }
+
+// again asks for another attempt.
+type again struct{ reason string }
+
+// done says that the caller has the target's whole answer.
+type done struct{ status int }
+
+// broken says that the request may have run and has no whole answer.
+type broken struct{ reason string }
+
+// over says that the time of the request ended or that the caller left.
+type over struct{ cause error }
+
+func (again) ending()  {}
+func (done) ending()   {}
+func (broken) ending() {}
+func (over) ending()   {}
+
+// firstEventAims bounds the wait for the first event of a stream that can be
+// sent to another target, in multiples of the route's goal.
+const firstEventAims = 2
+
+// attempt sends a request to one target and relays the answer.
+func (g *Gate) attempt(ctx context.Context, j *job, c choice) ending {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	tokens := 0
+	if j.Prompt != nil {
+		tokens = j.Prompt.In + j.Prompt.Out
+	}
+	id := j.ID + "/" + c.ID
+	if !g.poison.Begin(j.print, id, c.ID, time.Now()) {
+		j.tried[c.ID] = true
+		return again{reason: "another trial of a suspect request runs there"}
+	}
+	end := g.fleet.Begin(c.ID, tokens)
+	sent := wire.Boot()
+	out, outcome := g.exchange(ctx, cancel, j, c)
+	end(outcome)
+	g.poison.End(id, crash(outcome, g.fleet, c.ID), time.Now())
+	g.Metrics.Time("attempt", wire.Boot()-sent)
+	if a, ok := out.(again); ok {
+		j.tried[c.ID] = true
+		g.Metrics.Count("again")
+		j.log.Info(
+			"attempt ended", zap.String("target", c.ID), zap.String("reason", a.reason),
+			zap.Int64("took", (wire.Boot()-sent).Milliseconds()), zap.Bool("mayhaverun", outcome == fleet.Failed),
+		)
+	}
+	return out
+}
+
+// crash tells the tracker of crashing requests how an attempt ended.
+func crash(o fleet.Outcome, f *fleet.Fleet, id string) poison.Result {
+	switch o {
+	case fleet.Served:
+		return poison.Survived
+	case fleet.Failed:
+		if s, ok := f.Get(id); !ok || s.Down {
+			return poison.Died
+		}
+	}
+	return poison.Unused
+}
+
+// exchange makes the call and decides what its failure means.
+func (g *Gate) exchange(ctx context.Context, cancel context.CancelCauseFunc, j *job, c choice) (ending, fleet.Outcome) {
+	s := g.send(j, c)
+	req, err := g.codec.Request(ctx, s)
+	if err != nil {
+		return broken{reason: err.Error()}, fleet.Left
+	}
+	hedge := g.hedge(j, cancel)
+	resp, err := g.transport(j).RoundTrip(req)
+	if !hedge.Stop() && j.route.Kind == site.Streaming && err == nil {
+		_ = resp.Body.Close() // the timer has ended the attempt
+		err = errSlow
+	}
+	if err != nil {
+		return g.unanswered(ctx, j, err)
+	}
+	defer func() { _ = resp.Body.Close() }() // read to its end, or given up
+	j.arrivals++
+	reply := g.codec.ReadReply(s, resp)
+	g.learn(c, s, reply)
+	return g.answer(ctx, j, reply, resp)
+}
+
+var errSlow = errors.New("the first event did not come in time")
+
+// hedge ends an attempt whose first event is late if the stream may be sent to
+// another target.
+func (g *Gate) hedge(j *job, cancel context.CancelCauseFunc) *time.Timer {
+	late := j.end - wire.Boot()
+	if j.route.Kind == site.Streaming && j.route.Resumable && j.attempts+1 < j.route.Attempts {
+		late = min(late, max(firstEventAims*j.route.Goal, time.Second))
+	} else {
+		late += time.Hour
+	}
+	return time.AfterFunc(late, func() { cancel(errSlow) })
+}
+
+// unanswered decides about an attempt that brought no answer.
+func (g *Gate) unanswered(ctx context.Context, j *job, err error) (ending, fleet.Outcome) {
+	slow := errors.Is(context.Cause(ctx), errSlow) || errors.Is(err, errSlow)
+	if ctx.Err() != nil && !slow {
+		j.attempts++
+		var unsent *wire.UnsentError
+		if errors.As(err, &unsent) {
+			j.attempts--
+		}
+		return over{cause: context.Cause(ctx)}, fleet.Left
+	}
+	var unsent *wire.UnsentError
+	if errors.As(err, &unsent) && !slow {
+		return again{reason: err.Error()}, fleet.Unreachable
+	}
+	j.arrivals++
+	j.attempts++
+	return g.repeat(j, err.Error()), fleet.Failed
+}
+
+// repeat returns again if a request that may have run can be sent once more.
+func (g *Gate) repeat(j *job, reason string) ending {
+	if j.route.Repeatable() && j.attempts < j.route.Attempts {
+		return again{reason: reason}
+	}
+	return broken{reason: reason}
+}
+
+// answer decides about the head of an answer and relays it.
+func (g *Gate) answer(ctx context.Context, j *job, r Reply, resp *http.Response) (ending, fleet.Outcome) {
+	switch {
+	case r.NotRun:
+		reason := "the target did not run it"
+		if r.Elsewhere {
+			reason = "another target or other weights are there"
+		}
+		return again{reason: reason}, fleet.Refused
+	case !r.Own:
+		j.attempts++
+		return g.repeat(j, "the answer belongs to another request"), fleet.Failed
+	case r.Status < http.StatusMultipleChoices && (!r.Sealed || r.Encoded):
+		j.attempts++
+		return g.repeat(j, "the answer is not signed"), fleet.Failed
+	}
+	j.attempts++
+	if r.Status >= http.StatusInternalServerError && j.route.Kind == site.Idempotent && j.attempts < j.route.Attempts &&
+		g.window(j.service.Name).Left(wire.Boot(), g.hosts()) > 0 && len(g.fleet.Serving(j.service.Name)) > len(j.tried)+1 {
+		return again{reason: "the target failed"}, fleet.Served
+	}
+	if j.route.Kind == site.Streaming && r.Status < http.StatusMultipleChoices {
+		return g.relay(ctx, j, r, resp)
+	}
+	return g.buffer(ctx, j, r, resp)
+}
+
+// send describes an attempt that starts now.
+func (g *Gate) send(j *job, c choice) Send {
+	s := Send{Call: j.Call, Target: c.Target, Left: j.end - wire.Boot(), LastEvent: j.last, State: c.state}
+	s.Priority = j.route.Priority
+	if j.account != nil {
+		s.Account = j.account.Name
+		if j.account.HasPriority {
+			s.Priority = j.account.Priority
+		}
+	}
+	s.Priority = min(max(s.Priority, 0), 9)
+	return s
+}
+
+func (g *Gate) learn(c choice, s Send, r Reply) {
+	if r.Load != nil {
+		g.fleet.Report(c.ID, *r.Load)
+	}
+	if r.Version > 0 && s.Call.Prompt != nil {
+		g.fleet.Learn(c.ID, s.Call.Prompt.Model, r.Version)
+	}
+}
+
+// transport returns fresh connections for requests that must not be repeated, so
+// that a connection which the target closes meanwhile never swallows one.
+func (g *Gate) transport(j *job) http.RoundTripper {
+	if j.route.Repeatable() {
+		return g.kept
+	}
+	return g.fresh
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,127 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/retry"
+	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+// Option changes a default of New.
+type Option func(*Gate)
+
+// WithAllowance sets the bound on repeats of all hosts together.
+func WithAllowance(a retry.Allowance) Option { return func(g *Gate) { g.allowance = a } }
+
+// WithDistance sets how far a zone is from this host.
+func WithDistance(f func(zone string) place.Distance) Option {
+	return func(g *Gate) { g.distance = f }
+}
+
+// WithHosts sets the number of hosts that share the allowance.
+func WithHosts(f func() int) Option { return func(g *Gate) { g.hosts = f } }
+
+// WithKeeper sets the policy for kept prompt state.
+func WithKeeper(k Keeper) Option { return func(g *Gate) { g.keeper = k } }
+
+// WithLog sets the log of decisions.
+func WithLog(l *zap.Logger) Option { return func(g *Gate) { g.log = l } }
+
+// WithPoison sets the tracker of requests that crash their targets.
+func WithPoison(t *poison.Tracker) Option { return func(g *Gate) { g.poison = t } }
+
+// WithWeights sets the source of named weight versions.
+func WithWeights(w Weights) Option { return func(g *Gate) { g.weights = w } }
+
+// Gate is the handler of callers' requests.
+type Gate struct {
+	codec     Codec
+	fleet     *fleet.Fleet
+	keeper    Keeper
+	weights   Weights
+	poison    *poison.Tracker
+	log       *zap.Logger
+	allowance retry.Allowance
+	distance  func(zone string) place.Distance
+	hosts     func() int
+	costs     place.Weights
+
+	site   atomic.Pointer[site.Site]
+	kept   http.RoundTripper
+	fresh  http.RoundTripper
+	ending atomic.Bool
+	// Metrics are the counters of the gate.
+	Metrics *Metrics
+
+	mu      sync.Mutex
+	windows map[string]*retry.Window
+}
+
+// New returns a gate that knows no site yet and answers 503.
+func New(c Codec, f *fleet.Fleet, opts ...Option) *Gate {
+	g := &Gate{
+		codec: c, fleet: f, log: zap.NewNop(), keeper: noKeeper{}, weights: noWeights{},
+		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
+		distance:  func(string) place.Distance { return place.SameZone },
+		hosts:     func() int { return 1 }, costs: place.Defaults(),
+		kept: wire.NewTransport(wire.Kept), fresh: wire.NewTransport(wire.Fresh),
+		windows: map[string]*retry.Window{}, Metrics: newMetrics(), poison: poison.New(),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// End makes the gate close each connection after its answer.
+func (g *Gate) End() { g.ending.Store(true) }
+
+// SetSite puts a site in force. An older version is ignored.
+func (g *Gate) SetSite(s *site.Site) bool {
+	for {
+		old := g.site.Load()
+		if old != nil && old.Version >= s.Version {
+			return false
+		}
+		if g.site.CompareAndSwap(old, s) {
+			return true
+		}
+	}
+}
+
+// Site returns the site in force; nil before the first.
+func (g *Gate) Site() *site.Site { return g.site.Load() }
+
+func (g *Gate) window(service string) *retry.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, ok := g.windows[service]
+	if !ok {
+		w = retry.NewWindow(g.allowance)
+		g.windows[service] = w
+	}
+	return w
+}
+
+func draw() float64 { return rand.Float64() }
+
+type noKeeper struct{}
+
+func (noKeeper) Weigh(*Prompt, string, fleet.Target) (int, int, float64) { return 0, 0, 0 }
+func (noKeeper) Plan(*Prompt, string, int, fleet.Target) *State          { return nil }
+func (noKeeper) Scope(string, int, *site.Account) string                 { return "" }
+
+type noWeights struct{}
+
+func (noWeights) Named(string) int    { return 0 }
+func (noWeights) Loading(string) bool { return false }
--- /dev/null
+++ b/internal/gate/handle.go
@@ -0,0 +1,181 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// defaultWait bounds a request whose caller states no deadline on a route
+	// without a timeout.
+	defaultWait = 30 * time.Second
+	// answerMargin is kept back from a request's time for its way to the caller.
+	answerMargin = 20 * time.Millisecond
+)
+
+// errTimeout and errDeadline end the context of a request.
+var (
+	errTimeout  = errors.New("the route's timeout has passed")
+	errDeadline = errors.New("the caller's deadline has passed")
+)
+
+// job is a request on its way.
+type job struct {
+	*Call
+	site    *site.Site
+	route   *site.Route
+	account *site.Account
+	service *site.Service
+	// end is the boot time at which the request gets its final answer.
+	end   time.Duration
+	print poison.Print
+	log   *zap.Logger
+
+	w http.ResponseWriter
+	// tried holds the targets that failed or refused.
+	tried map[string]bool
+	// attempts counts the sends that may have run, arrivals all that reached a
+	// target.
+	attempts, arrivals int
+	// begun is set once the caller has the head of an answer.
+	begun bool
+	last  string
+}
+
+// ServeHTTP serves a caller's request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := wire.Boot()
+	if g.ending.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	call, err := g.codec.ReadCall(r)
+	if err != nil {
+		g.deny(w, nil, http.StatusBadRequest, err.Error())
+		return
+	}
+	call.Arrived = arrived
+	j := &job{Call: &call, w: w, tried: map[string]bool{}}
+	j.log = g.log.With(zap.String("request", call.ID))
+	if !g.admit(j, r) {
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(r.Context(), j.end-wire.Boot(), errTimeout)
+	defer cancel()
+	g.serve(ctx, j)
+}
+
+// admit finds the route and the account of a request and reads its body. It
+// answers the request itself if it returns false.
+func (g *Gate) admit(j *job, r *http.Request) bool {
+	j.site = g.site.Load()
+	if j.site == nil {
+		g.refuse(j, "no site is known yet", time.Second)
+		return false
+	}
+	route, ok := j.site.Match(r.Host, r.URL.Path)
+	if !ok {
+		g.deny(j.w, j, http.StatusNotFound, "no route leads there")
+		return false
+	}
+	j.route = route
+	if !route.Public && len(j.site.Accounts) > 0 {
+		if j.account, ok = j.site.Account(j.Key); !ok {
+			g.deny(j.w, j, http.StatusUnauthorized, "the key is unknown")
+			return false
+		}
+	}
+	if j.service, ok = j.site.Service(route.Pick(draw())); !ok {
+		g.refuse(j, "the route's service is not described", time.Second)
+		return false
+	}
+	body, err := readBody(r, j.site.Limits.BodyBytes)
+	if err != nil {
+		var denied *CallError
+		if errors.As(err, &denied) {
+			g.deny(j.w, j, denied.Status, denied.Problem)
+			return false
+		}
+		j.log.Info("left", zap.String("reason", "the body broke off"), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	j.Body = body
+	j.setEnd()
+	j.print = fingerprint(j)
+	return true
+}
+
+// setEnd sets the time of the final answer from the route and the caller.
+func (j *job) setEnd() {
+	wait := j.route.Timeout
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if j.Wait > 0 {
+		wait = min(wait, j.Wait)
+	}
+	j.end = j.Arrived + wait - answerMargin
+}
+
+func readBody(r *http.Request, limit int) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit <= 0 {
+		return io.ReadAll(r.Body)
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > limit {
+		return nil, &CallError{Status: http.StatusRequestEntityTooLarge, Problem: "the body is too large"}
+	}
+	return b, nil
+}
+
+// serve tries targets until the request has its final answer.
+func (g *Gate) serve(ctx context.Context, j *job) {
+	g.Metrics.Count("requests")
+	g.window(j.service.Name).Request(wire.Boot())
+	if refuse, ok := g.poison.Admit(j.print, time.Now()).(poison.Refuse); ok {
+		g.refuse(j, "earlier runs of this request crashed their targets", refuse.Retry)
+		return
+	}
+	for {
+		target, ok := g.choose(j)
+		if !ok {
+			g.exhausted(j, "no target is left")
+			return
+		}
+		if j.arrivals > 0 && !g.window(j.service.Name).Repeat(wire.Boot(), g.hosts()) {
+			g.exhausted(j, "the share of repeats is used up")
+			return
+		}
+		out := g.attempt(ctx, j, target)
+		if _, again := out.(again); !again {
+			g.finish(ctx, j, out)
+			return
+		}
+	}
+}
+
+// exhausted ends a request for which no further attempt is possible.
+func (g *Gate) exhausted(j *job, reason string) {
+	switch {
+	case j.begun:
+		g.cut(j, reason)
+	case j.attempts > 0:
+		g.fail(j, http.StatusBadGateway, reason)
+	default:
+		g.refuse(j, reason, g.comeBack(j))
+	}
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,108 @@
+// Package logs writes structured lines without ever holding up their writers.
+//
+// Lines wait in a bounded buffer for a single goroutine. A line that finds the
+// buffer full is dropped and counted; the count is logged once there is room.
+//
+// # Usage
+//
+//	log, sync, err := logs.New(os.Stdout, "info")
+//	defer sync()
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	maxLines  = 4096
+	syncLimit = 500 * time.Millisecond
+)
+
+// writer is a zapcore.WriteSyncer that never blocks.
+type writer struct {
+	lines   chan []byte
+	flush   chan chan struct{}
+	dropped atomic.Int64
+	out     io.Writer
+}
+
+// New returns a logger of JSON lines and a function that waits for the lines
+// written so far, but not for long.
+func New(out io.Writer, level string) (*zap.Logger, func(), error) {
+	l, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	w := &writer{lines: make(chan []byte, maxLines), flush: make(chan chan struct{}), out: out}
+	go w.run()
+	e := zap.NewProductionEncoderConfig()
+	e.EncodeTime = zapcore.ISO8601TimeEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(e), w, l))
+	return log, w.wait, nil
+}
+
+// Write queues a line or drops it.
+func (w *writer) Write(b []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), b...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// Sync does nothing; lines are written as they come.
+func (*writer) Sync() error { return nil }
+
+func (w *writer) run() {
+	for {
+		select {
+		case b := <-w.lines:
+			w.write(b)
+		case reply := <-w.flush:
+			w.rest()
+			close(reply)
+		}
+	}
+}
+
+func (w *writer) rest() {
+	for {
+		select {
+		case b := <-w.lines:
+			w.write(b)
+		default:
+			return
+		}
+	}
+}
+
+// write writes a line. A reader that is gone leaves nobody to tell.
+func (w *writer) write(b []byte) {
+	_, _ = w.out.Write(b)
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+	}
+}
+
+func (w *writer) wait() {
+	t := time.NewTimer(syncLimit)
+	defer t.Stop()
+	reply := make(chan struct{})
+	select {
+	case w.flush <- reply:
+	case <-t.C:
+		return
+	}
+	select {
+	case <-reply:
+	case <-t.C:
+	}
+}
