Follow stores of kept state, bring engines to named weights by one lease holder

Shared parts are saved once per region and fetched where a store's events say that they are complete; one host at a time gives orders.

--- a/internal/front/admin.go
+++ b/internal/front/admin.go
@@ -34,12 +34,15 @@
 	Weights  map[string]int `json:"weights"`
 	Targets  any            `json:"targets"`
 	Poison   any            `json:"poison"`
+	Stores   any            `json:"stores"`
+	Hosts    []string       `json:"hosts"`
 }
 
 func (h *Host) state() State {
 	s := State{
 		Settings: h.settings, Time: time.Now(), Ready: h.Ready(), Weights: h.operator.Models(),
 		Targets: h.fleet.All(), Poison: h.poison.Stats(time.Now()),
+		Stores: h.stash.Stats(), Hosts: h.members.names(),
 	}
 	if site := h.gate.Site(); site != nil {
 		s.Site = site.Version
--- /dev/null
+++ b/internal/front/duty.go
@@ -0,0 +1,204 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/lease"
+	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/roll"
+	"sesamehill.example/sesamehill/internal/tree"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// dutyTable holds the lease of the host that gives orders, and its progress.
+	dutyTable   = "sesame_duty"
+	leaseName   = "orders"
+	progressKey = "progress"
+	// leaseTTL and leasePace decide how soon another host takes over.
+	leaseTTL     = 3 * time.Second
+	leasePace    = 350 * time.Millisecond
+	leaseTimeout = 600 * time.Millisecond
+	freePeriod   = time.Second
+	// freeAfter is how long all engines have held the named weights before state
+	// of older ones is freed; it exceeds the longest fetch.
+	freeAfter = 4 * time.Second
+	// freeBatch bounds the parts of one call.
+	freeBatch   = 200
+	freeTimeout = time.Second
+)
+
+// duty is a host's part in what one host at a time does.
+type duty struct {
+	host   *Host
+	lease  *lease.Lease
+	roller *roll.Roller
+	table  Table
+
+	mu sync.Mutex
+	// busy holds the engines that the holder is about to order, until when that
+	// is believed.
+	busy map[string]time.Duration
+	// current is since when all engines hold the named weights.
+	current time.Duration
+}
+
+func newDuty(h *Host) *duty {
+	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}}
+	d.lease = lease.New(
+		d.table, leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(),
+		lease.WithTTL(leaseTTL), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
+	)
+	source := roll.Source{Named: h.operator.Models, Engines: d.engines, Learn: h.fleet.Learn}
+	d.roller = roll.New(h.settings.Name, d.lease, h.platform.Targets(), d, source, roll.WithLog(h.log))
+	return d
+}
+
+func (d *duty) add(t *tree.Tree) {
+	t.Add("lease", func(ctx context.Context) error {
+		d.lease.Run(ctx)
+		return nil
+	})
+	t.Add("orders", d.roller.Run)
+	t.Add("progress", feed.NewWatch(d.host.platform, dutyTable, d).Run)
+	t.Add("free", d.free)
+}
+
+// engines returns all engines that the site describes.
+func (d *duty) engines() []roll.Engine {
+	s := d.host.gate.Site()
+	if s == nil {
+		return nil
+	}
+	var out []roll.Engine
+	for _, v := range s.Services {
+		if v.Engine == nil {
+			continue
+		}
+		for _, t := range d.host.fleet.Serving(v.Name) {
+			for _, model := range v.Engine.Models {
+				out = append(out, roll.Engine{
+					ID: t.ID, Address: t.Address, Service: v.Name, Model: model,
+					Version: t.Versions[model], Calls: t.Calls, Down: t.Down,
+				})
+			}
+		}
+	}
+	return out
+}
+
+// loading reports whether nothing should be sent to a target.
+func (d *duty) loading(target string) bool {
+	if d.roller.Loading(target) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	until, ok := d.busy[target]
+	return ok && wire.Boot() < until
+}
+
+// Publish writes the progress of this host's orders.
+func (d *duty) Publish(ctx context.Context, p roll.Progress) error {
+	b, err := json.Marshal(p)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(d.table.Put(ctx, progressKey, b))
+}
+
+// Listed reads the progress of the holder.
+func (d *duty) Listed(rows []feed.Row) { d.Changed(rows) }
+
+// Changed reads the progress of the holder.
+func (d *duty) Changed(rows []feed.Row) {
+	for _, r := range rows {
+		if r.Key != progressKey || r.Removed {
+			continue
+		}
+		var p roll.Progress
+		if err := json.Unmarshal(r.Value, &p); err != nil {
+			d.host.log.Warn("progress not usable", zap.Uint64("row", r.Version), zap.Error(err))
+			continue
+		}
+		d.learn(p)
+	}
+}
+
+func (d *duty) learn(p roll.Progress) {
+	for id, versions := range p.Loaded {
+		for model, version := range versions {
+			d.host.fleet.Learn(id, model, version)
+		}
+	}
+	until := wire.Boot() + roll.LoadingMemory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy = make(map[string]time.Duration, len(p.Loading))
+	for _, id := range p.Loading {
+		d.busy[id] = until
+	}
+}
+
+// Lost notes that the progress cannot be read; what is known expires.
+func (d *duty) Lost(err error) {
+	d.host.log.Warn("dependency lost", zap.String("table", dutyTable), zap.Error(err))
+}
+
+// Regained notes that the progress can be read again.
+func (d *duty) Regained(after time.Duration) {
+	d.host.log.Info("dependency regained", zap.String("table", dutyTable), zap.Duration("after", after))
+}
+
+// free frees the state of replaced weights while this host holds the lease.
+func (d *duty) free(ctx context.Context) error {
+	for pause.For(ctx, freePeriod) == nil {
+		if !d.settled() {
+			continue
+		}
+		if _, err := d.lease.Fence(); err != nil || !d.lease.Unfenced() {
+			continue
+		}
+		d.freeOld(ctx)
+	}
+	return nil
+}
+
+// settled reports whether no engine can use state of older weights any more.
+func (d *duty) settled() bool {
+	named := d.host.operator.Models()
+	now := wire.Boot()
+	for _, e := range d.engines() {
+		if e.Version < named[e.Model] {
+			d.current = 0
+			return false
+		}
+	}
+	if d.current == 0 {
+		d.current = now
+	}
+	return now-d.current > freeAfter
+}
+
+func (d *duty) freeOld(ctx context.Context) {
+	for _, g := range d.host.stash.Garbage(d.host.operator.Models()) {
+		for len(g.Keys) > 0 {
+			n := min(len(g.Keys), freeBatch)
+			limited, cancel := context.WithTimeout(ctx, freeTimeout)
+			err := d.host.platform.Targets().Free(limited, g.Address, g.Epoch, g.Until, g.Keys[:n])
+			cancel()
+			d.host.log.Info("freed", zap.String("store", g.Address), zap.Int("parts", n), zap.Error(err))
+			if err != nil {
+				break
+			}
+			g.Keys = g.Keys[n:]
+		}
+	}
+}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -14,7 +14,9 @@
 	"sesamehill.example/sesamehill/internal/gate"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/stash"
 	"sesamehill.example/sesamehill/internal/table"
 	"sesamehill.example/sesamehill/internal/tree"
 )
@@ -33,6 +35,8 @@
 	Decoder
 	feed.Source
 	Codec() gate.Codec
+	// Targets makes the calls to targets that are not callers' requests.
+	Targets() Targets
 	// Table returns one of the product's own tables.
 	Table(name string) Table
 	// OperatorTable and TargetTable are the tables that the platform writes.
@@ -40,6 +44,14 @@
 	TargetTable() string
 }
 
+// Targets makes calls to engines and stores.
+type Targets interface {
+	roll.Engines
+	stash.Reader
+	// Free frees parts of a store of a known epoch, until a time on its clock.
+	Free(ctx context.Context, address string, epoch uint64, until int64, keys []stash.Key) error
+}
+
 // Table is a table of the product's own on the platform.
 type Table interface {
 	table.Table
@@ -63,6 +75,10 @@
 	operator *operator
 	lister   *lister
 	server   *server
+	stash    *stash.Catalog
+	pollers  *pollers
+	duty     *duty
+	members  *members
 	poison   *poison.Tracker
 	leaving  atomic.Bool
 }
@@ -78,13 +94,17 @@
 	}
 	h.fleet = fleet.New(fleet.WithChanged(h.targetChanged))
 	h.poison = poison.New()
-	h.operator = &operator{decode: p, log: h.log, named: map[string]named{}, onSite: func(*site.Site) {}}
+	h.stash = stash.NewCatalog(s.Zones, stash.WithLog(h.log))
+	h.pollers = &pollers{catalog: h.stash, reader: p.Targets(), log: h.log, running: map[string]context.CancelFunc{}}
+	h.operator = &operator{decode: p, log: h.log, named: map[string]named{}, onSite: h.siteChanged}
 	h.lister = &lister{decode: p, fleet: h.fleet, log: h.log}
 	h.gate = gate.New(
 		p.Codec(), h.fleet, gate.WithLog(h.log), gate.WithAllowance(s.allowance()),
 		gate.WithDistance(s.distance), gate.WithPoison(h.poison), gate.WithHosts(h.hosts),
-		gate.WithWeights(h),
+		gate.WithWeights(h), gate.WithKeeper(h.stash),
 	)
+	h.duty = newDuty(h)
+	h.members = newMembers(h)
 	h.operator.gate = h.gate
 	h.server = newServer(h.gate)
 	return h, nil
@@ -103,6 +123,9 @@
 	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readiness()) })
 	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.admin()) })
 	t.Add("idle", h.sweepIdle)
+	t.Add("stores", h.pollers.Run)
+	t.Add("members", h.members.Run)
+	h.duty.add(t)
 	return errors.Trace(t.Run(parts))
 }
 
@@ -160,10 +183,12 @@
 	)
 }
 
-func (h *Host) hosts() int { return 8 }
+func (h *Host) siteChanged(s *site.Site) { h.pollers.set(h.stash.Describe(s)) }
+
+func (h *Host) hosts() int { return h.members.count() }
 
 // Named returns the newest named weight version of a model.
 func (h *Host) Named(model string) int { return h.operator.Named(model) }
 
 // Loading reports whether a target is about to change its weights.
-func (h *Host) Loading(string) bool { return false }
+func (h *Host) Loading(target string) bool { return h.duty.loading(target) }
--- /dev/null
+++ b/internal/front/members.go
@@ -0,0 +1,158 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// memberTable holds a row for each host.
+	memberTable = "sesame_hosts"
+	// memberPeriod is the time between two writes of a host's row.
+	memberPeriod = time.Second
+	// memberMemory is how long a host counts after its row changed last.
+	memberMemory  = 5 * time.Second
+	memberTimeout = 700 * time.Millisecond
+	// assumedHosts is the number of hosts that a host assumes to share budgets
+	// with before it knows better; minHosts is the least it ever assumes.
+	assumedHosts = 8
+	minHosts     = 2
+	// maxRecords bounds the records of crashing requests in a row.
+	maxRecords = 64
+)
+
+// member is a host's row.
+type member struct {
+	Host   string          `json:"host"`
+	Zone   string          `json:"zone"`
+	Peer   string          `json:"peer"`
+	Count  uint64          `json:"count"`
+	Poison []poison.Record `json:"poison,omitempty"`
+}
+
+// members writes the host's row and reads those of the others.
+type members struct {
+	host   *Host
+	table  Table
+	writes uint64
+
+	mu   sync.Mutex
+	seen map[string]sighting
+	// most is the largest number of hosts seen lately.
+	known bool
+}
+
+type sighting struct {
+	member
+	version uint64
+	at      time.Duration
+}
+
+func newMembers(h *Host) *members {
+	return &members{host: h, table: h.platform.Table(memberTable), seen: map[string]sighting{}}
+}
+
+// Run writes and reads until ctx ends.
+func (m *members) Run(ctx context.Context) error {
+	for {
+		m.write(ctx)
+		m.read(ctx)
+		if pause.For(ctx, memberPeriod*3/4+time.Duration(rand.Int64N(int64(memberPeriod/2)))) != nil {
+			return nil
+		}
+	}
+}
+
+func (m *members) write(ctx context.Context) {
+	m.writes++
+	row := member{
+		Host: m.host.settings.Name, Zone: m.host.settings.Zone, Peer: m.host.settings.Peer, Count: m.writes,
+		Poison: m.host.poison.Export(maxRecords, time.Now()),
+	}
+	b, err := json.Marshal(row)
+	if err != nil {
+		m.host.log.Error("row of this host not encoded", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	if err := m.table.Put(ctx, row.Host, b); err != nil {
+		m.host.log.Debug("row of this host not written", zap.Error(err))
+	}
+}
+
+func (m *members) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	rows, _, err := m.host.platform.List(ctx, memberTable)
+	if err != nil {
+		m.host.log.Debug("rows of hosts not read", zap.Error(err))
+		return
+	}
+	now := wire.Boot()
+	for _, r := range rows {
+		var row member
+		if err := json.Unmarshal(r.Value, &row); err != nil || row.Host == "" {
+			m.host.log.Warn("row of a host not usable", zap.String("key", r.Key), zap.Error(err))
+			continue
+		}
+		m.note(row, r.Version, now)
+	}
+	m.mu.Lock()
+	m.known = true
+	m.mu.Unlock()
+}
+
+func (m *members) note(row member, version uint64, now time.Duration) {
+	m.mu.Lock()
+	old, ok := m.seen[row.Host]
+	fresh := !ok || old.version != version
+	if fresh {
+		m.seen[row.Host] = sighting{member: row, version: version, at: now}
+	}
+	m.mu.Unlock()
+	if !fresh || row.Host == m.host.settings.Name || len(row.Poison) == 0 {
+		return
+	}
+	if err := m.host.poison.Import(row.Poison, time.Now()); err != nil {
+		m.host.log.Warn("records of another host not usable", zap.String("from", row.Host), zap.Error(err))
+	}
+}
+
+// count returns the number of hosts that share budgets.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.known {
+		return assumedHosts
+	}
+	return max(len(m.live(wire.Boot())), minHosts)
+}
+
+// names returns the hosts that are alive.
+func (m *members) names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live(wire.Boot())
+}
+
+func (m *members) live(now time.Duration) []string {
+	var names []string
+	for name, s := range m.seen {
+		if now-s.at < memberMemory {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -24,11 +24,11 @@
 	// Platform is the address of the platform's store.
 	Platform string `toml:"platform"`
 	// Front, Ready, Peer and Admin are the addresses to listen on.
-	Front   string `toml:"front"`
-	Ready   string `toml:"ready"`
-	Peer    string `toml:"peer"`
-	Admin   string `toml:"admin"`
-	Level   string `toml:"level"`
+	Front string `toml:"front"`
+	Ready string `toml:"ready"`
+	Peer  string `toml:"peer"`
+	Admin string `toml:"admin"`
+	Level string `toml:"level"`
 	// Memory is the limit in megabytes.
 	Memory int64 `toml:"memory"`
 	// Grace is the time from SIGTERM to SIGKILL in seconds.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,6 +25,14 @@
 // WithFloor sets a function that returns the highest fence known from targets.
 func WithFloor(f func() uint64) Option { return func(l *Lease) { l.floor = f } }
 
+// WithPace sets the time between two steps. The default is a third of the time to
+// live.
+func WithPace(d time.Duration) Option { return func(l *Lease) { l.pace = d } }
+
+// WithReadBack makes the lease read its row after each write, for tables whose
+// row versions do not count by one.
+func WithReadBack() Option { return func(l *Lease) { l.readBack = true } }
+
 // WithTimeout sets the deadline of one table operation. The default is 1 s.
 func WithTimeout(d time.Duration) Option { return func(l *Lease) { l.timeout = d } }
 
@@ -42,6 +50,9 @@
 	floor   func() uint64
 	timeout time.Duration
 	ttl     time.Duration
+	pace    time.Duration
+	// readBack is set if the version of a written row is not known in advance.
+	readBack bool
 
 	step  sync.Mutex // one Step or Release at a time
 	mu    sync.Mutex // held
@@ -89,7 +100,10 @@
 func (l *Lease) Run(ctx context.Context) {
 	for {
 		_ = l.Step(ctx) // Fence reports what matters; the next step tries again
-		pause := l.ttl / 3
+		pause := l.pace
+		if pause <= 0 {
+			pause = l.ttl / 3
+		}
 		pause += time.Duration(rand.Int64N(int64(pause)/4 + 1))
 		t := time.NewTimer(pause)
 		select {
@@ -164,7 +178,7 @@
 		return juju.Annotatef(err, "write lease %q", l.name)
 	}
 	row := table.Row{Key: op.Key, Version: op.Version + 1, Value: op.Value}
-	if err != nil {
+	if err != nil || l.readBack {
 		if row, err = l.read(ctx); err != nil {
 			return juju.Annotatef(err, "read lease %q back", l.name)
 		}
