Load new weights after a short wait for runs, send to old ones meanwhile

Cause: requests were pushed to the few engines with new weights, which had to read everything again, and an order that waits for all runs took engines away for 2.3 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -14,7 +14,7 @@
 const (
 	// wait is the length of a long poll; it bounds how long a silent connection
 	// goes unnoticed.
-	wait = time.Second
+	wait = 3 * time.Second
 	// slack is added to the wait before a call counts as failed.
 	slack       = 700 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
--- a/internal/front/beliefs.go
+++ b/internal/front/beliefs.go
@@ -11,6 +11,7 @@
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gate"
 	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
 // Decoder reads rows of the platform's tables.
@@ -37,8 +38,9 @@
 
 // named is a weight version and when this host learned of it.
 type named struct {
-	Version int       `json:"version"`
-	At      time.Time `json:"at"`
+	version int
+	// at is the boot time.
+	at time.Duration
 }
 
 func (o *operator) Listed(rows []feed.Row) { o.Changed(rows) }
@@ -75,10 +77,10 @@
 func (o *operator) name(model string, version int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.named[model].Version >= version {
+	if o.named[model].version >= version {
 		return
 	}
-	o.named[model] = named{Version: version, At: time.Now()}
+	o.named[model] = named{version: version, at: wire.Boot()}
 	o.log.Info("weights named", zap.String("model", model), zap.Int("version", version))
 }
 
@@ -90,11 +92,13 @@
 	o.log.Info("dependency regained", zap.String("table", "operator"), zap.Duration("after", after))
 }
 
-// Named returns the newest weight version of a model; zero if none was named.
-func (o *operator) Named(model string) int {
+// Named returns the newest weight version of a model and how long this host has
+// known it; zero if none was named.
+func (o *operator) Named(model string) (int, time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.named[model].Version
+	n := o.named[model]
+	return n.version, wire.Boot() - n.at
 }
 
 // Models returns the named versions.
@@ -103,7 +107,7 @@
 	defer o.mu.Unlock()
 	out := make(map[string]int, len(o.named))
 	for m, n := range o.named {
-		out[m] = n.Version
+		out[m] = n.version
 	}
 	return out
 }
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -24,7 +24,7 @@
 	progressKey = "progress"
 	// leaseTTL and leasePace decide how soon another host takes over.
 	leaseTTL     = 3 * time.Second
-	leasePace    = 350 * time.Millisecond
+	leasePace    = 700 * time.Millisecond
 	leaseTimeout = 600 * time.Millisecond
 	freePeriod   = time.Second
 	// freeAfter is how long all engines have held the named weights before state
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -102,6 +102,7 @@
 		p.Codec(), h.fleet, gate.WithLog(h.log), gate.WithAllowance(s.allowance()),
 		gate.WithDistance(s.distance), gate.WithPoison(h.poison), gate.WithHosts(h.hosts),
 		gate.WithWeights(h), gate.WithKeeper(h.stash),
+		gate.WithStaleLimit(s.staleLimit()),
 	)
 	h.duty = newDuty(h)
 	h.members = newMembers(h)
@@ -187,8 +188,9 @@
 
 func (h *Host) hosts() int { return h.members.count() }
 
-// Named returns the newest named weight version of a model.
-func (h *Host) Named(model string) int { return h.operator.Named(model) }
+// Named returns the newest named weight version of a model and how long this host
+// has known it.
+func (h *Host) Named(model string) (int, time.Duration) { return h.operator.Named(model) }
 
 // Loading reports whether a target is about to change its weights.
 func (h *Host) Loading(target string) bool { return h.duty.loading(target) }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -19,9 +19,9 @@
 	// memberTable holds a row for each host.
 	memberTable = "sesame_hosts"
 	// memberPeriod is the time between two writes of a host's row.
-	memberPeriod = time.Second
+	memberPeriod = 2 * time.Second
 	// memberMemory is how long a host counts after its row changed last.
-	memberMemory  = 5 * time.Second
+	memberMemory  = 8 * time.Second
 	memberTimeout = 700 * time.Millisecond
 	// assumedHosts is the number of hosts that a host assumes to share budgets
 	// with before it knows better; minHosts is the least it ever assumes.
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -37,6 +37,9 @@
 	Drain float64 `toml:"drain"`
 	// Lease is the time in which holders may not take turns, in milliseconds.
 	Lease float64 `toml:"lease"`
+	// Weights is how long after new weights were named requests may begin on older
+	// ones, in milliseconds.
+	Weights float64 `toml:"weights"`
 	// Ratio, Slack and Window (seconds) bound the repeats of all hosts.
 	Ratio  float64 `toml:"ratio"`
 	Slack  float64 `toml:"slack"`
@@ -122,6 +125,13 @@
 	}
 }
 
+// staleMargin is the time that a request may take to reach its engine and begin.
+const staleMargin = 1500 * time.Millisecond
+
+func (s Settings) staleLimit() time.Duration {
+	return max(time.Duration(s.Weights*float64(time.Millisecond))-staleMargin, 0)
+}
+
 // distance returns how far a zone is from the host.
 func (s Settings) distance(zone string) place.Distance {
 	switch {
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/zeebo/blake3"
 	"go.uber.org/zap"
@@ -12,6 +13,10 @@
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
+// staleGrace is how long after new weights were named answers on older ones keep
+// their full worth, less the time to begin.
+const staleGrace = 1200 * time.Millisecond
+
 // choice is a target with what was believed about it.
 type choice struct {
 	fleet.Status
@@ -23,7 +28,7 @@
 	serving := g.fleet.Serving(j.service.Name)
 	open := serving[:0]
 	for _, s := range serving {
-		if !j.tried[s.ID] && !g.weights.Loading(s.ID) {
+		if !j.tried[s.ID] && !g.weights.Loading(s.ID) && !g.outdated(j, s) {
 			open = append(open, s)
 		}
 	}
@@ -64,7 +69,8 @@
 		return c
 	}
 	version := s.Versions[j.Prompt.Model]
-	c.Stale = version < g.weights.Named(j.Prompt.Model)
+	named, since := g.weights.Named(j.Prompt.Model)
+	c.Stale = version < named && since > staleGrace
 	scope := g.keeper.Scope(j.Prompt.Model, version, j.account)
 	c.Resident, c.Stored, c.FetchMs = g.keeper.Weigh(j.Prompt, scope, s.Target)
 	if e := j.service.Engine; e != nil {
@@ -73,6 +79,15 @@
 	return c
 }
 
+// outdated reports whether an engine's weights are too old to begin a request.
+func (g *Gate) outdated(j *job, s fleet.Status) bool {
+	if j.Prompt == nil || g.staleLimit <= 0 {
+		return false
+	}
+	named, since := g.weights.Named(j.Prompt.Model)
+	return s.Versions[j.Prompt.Model] < named && since > g.staleLimit
+}
+
 // work sums up a prompt. The subject is the last part that others share.
 func work(p *Prompt) place.Work {
 	w := place.Work{}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,10 @@
 // WithPoison sets the tracker of requests that crash their targets.
 func WithPoison(t *poison.Tracker) Option { return func(g *Gate) { g.poison = t } }
 
+// WithStaleLimit sets how long after new weights were named a request may begin
+// on older ones.
+func WithStaleLimit(d time.Duration) Option { return func(g *Gate) { g.staleLimit = d } }
+
 // WithWeights sets the source of named weight versions.
 func WithWeights(w Weights) Option { return func(g *Gate) { g.weights = w } }
 
@@ -55,6 +59,9 @@
 	distance  func(zone string) place.Distance
 	hosts     func() int
 	costs     place.Weights
+	// staleLimit is the time from the naming of weights after which nothing is
+	// sent to engines with older ones.
+	staleLimit time.Duration
 
 	site   atomic.Pointer[site.Site]
 	kept   http.RoundTripper
@@ -123,5 +130,5 @@
 
 type noWeights struct{}
 
-func (noWeights) Named(string) int    { return 0 }
-func (noWeights) Loading(string) bool { return false }
+func (noWeights) Named(string) (int, time.Duration) { return 0, 0 }
+func (noWeights) Loading(string) bool               { return false }
--- a/internal/gate/types.go
+++ b/internal/gate/types.go
@@ -121,7 +121,8 @@
 
 // Weights tells which weight version of a model was named last; zero if none.
 type Weights interface {
-	Named(model string) int
+	// Named also returns how long ago that was.
+	Named(model string) (int, time.Duration)
 	// Loading reports whether a target is about to change its weights.
 	Loading(target string) bool
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -77,7 +77,7 @@
 	return Weights{
 		WayMs: [3]float64{1, 4, 42}, ReadMs: 1.0 / 64, AgainMs: 1.0 / 12,
 		CallMs: 8, WaitMs: 40, HomeMs: 60,
-		RiskMs: 1500, DownMs: 20000, StaleMs: 1500, FullMs: 3000,
+		RiskMs: 1500, DownMs: 20000, StaleMs: 120, FullMs: 3000,
 	}
 }
 
--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -13,6 +13,8 @@
 	Busy bool
 	// Sequence counts the orders that the engine accepted since its start.
 	Sequence uint64
+	// Running is the number of runs.
+	Running int
 }
 
 // Order tells an engine to load weights.
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -20,6 +20,8 @@
 	callTimeout = 400 * time.Millisecond
 	// reportPeriod is the time between two questions to an engine that loads.
 	reportPeriod = 120 * time.Millisecond
+	// idleLimit bounds the wait for the runs of an engine before it is ordered.
+	idleLimit = 600 * time.Millisecond
 	// loadLimit bounds the wait for an engine that has accepted an order; its runs
 	// end first.
 	loadLimit = 10 * time.Second
@@ -159,8 +161,7 @@
 
 // load brings one engine to the weights that are named when it begins.
 func (r *Roller) load(ctx context.Context, e Engine) {
-	version := r.named()[e.Model]
-	ok := pause.For(ctx, spread) == nil && r.order(ctx, e, version)
+	ok := pause.For(ctx, spread) == nil && r.idle(ctx, e) && r.order(ctx, e, r.named()[e.Model])
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.loading, e.ID)
@@ -169,7 +170,22 @@
 		r.until[e.ID] = wire.Boot() + againAfter
 		return
 	}
-	r.loaded[e.ID] = loaded{versions: map[string]int{e.Model: version}, at: wire.Boot()}
+	r.loaded[e.ID] = loaded{versions: map[string]int{e.Model: r.named()[e.Model]}, at: wire.Boot()}
+}
+
+// idle waits for the runs of an engine to which nothing is sent any more, but
+// not for the longest of them.
+func (r *Roller) idle(ctx context.Context, e Engine) bool {
+	begin := wire.Boot()
+	for wire.Boot()-begin < idleLimit {
+		if now, err := r.report(ctx, e); err != nil || now.Running == 0 {
+			return true
+		}
+		if pause.For(ctx, reportPeriod) != nil {
+			return false
+		}
+	}
+	return true
 }
 
 // order gives an order and waits until the engine has the weights.
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -16,7 +16,7 @@
 	// belief is how long a store's state is believed after a poll began.
 	belief = 1200 * time.Millisecond
 	// fetchLimit is how long a fetch may take from the time at which it is sent.
-	fetchLimit = 1500 * time.Millisecond
+	fetchLimit = 800 * time.Millisecond
 	// settle is how long a store takes nothing after a restart was noticed. It
 	// exceeds belief and fetchLimit together, so that no host still fetches what
 	// is being written again.
