Share what is in flight between hosts, wait for room, learn the pace of stores

When moves of a store turn slow, every fetch behind them on the engine's link waits.

Hosts of a region now tell each other their flights, requests wait in the host when no engine has memory for them, a stream leaves only a silent engine, a fetch from a slow store gives way to reading, and parts lie in the zone that reads them.

--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -12,6 +12,7 @@
 //	f := fleet.New(fleet.WithClock(wire.Boot))
 //	f.Put(fleet.Target{ID: "t1", Service: "chat", Address: "10.0.0.1:80"})
 //	for _, s := range f.Serving("chat") { ... }
-//	done := f.Begin("t1", tokens)
-//	done(fleet.Served)
+//	a := f.Begin("t1", fleet.Flight{Tokens: 1200, Unread: 400})
+//	a.Heard()
+//	a.End(fleet.Served)
 package fleet
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,6 +24,8 @@
 	maxDown   = 2 * time.Second
 	// othersHalf is the time in which the reported load of other hosts halves.
 	othersHalf = 700 * time.Millisecond
+	// toldMemory is how long the word of another host counts.
+	toldMemory = 1500 * time.Millisecond
 	// versionGrace is how long a weight version learned from a reply goes before
 	// an older one in the list, which lags.
 	versionGrace = 4 * time.Second
@@ -68,14 +70,35 @@
 	Running, Waiting, Slots int
 }
 
+// Flight is what calls in flight ask of a target.
+type Flight struct {
+	Calls int `json:"calls" cbor:"1,keyasint,omitempty"`
+	// Tokens is the memory that they need.
+	Tokens int `json:"tokens" cbor:"2,keyasint,omitempty"`
+	// Unread are prompt tokens still to be read, Fetching those still to be
+	// fetched.
+	Unread   int `json:"unread" cbor:"3,keyasint,omitempty"`
+	Fetching int `json:"fetching" cbor:"4,keyasint,omitempty"`
+}
+
+// Add returns the sum of two flights.
+func (f Flight) Add(g Flight) Flight {
+	return Flight{f.Calls + g.Calls, f.Tokens + g.Tokens, f.Unread + g.Unread, f.Fetching + g.Fetching}
+}
+
+// Sub returns the difference of two flights.
+func (f Flight) Sub(g Flight) Flight {
+	return Flight{f.Calls - g.Calls, f.Tokens - g.Tokens, f.Unread - g.Unread, f.Fetching - g.Fetching}
+}
+
 // Status is a target with what the host knows about it.
 type Status struct {
 	Target
-	// Calls and Tokens are this host's in flight.
-	Calls  int `json:"calls"`
-	Tokens int `json:"tokens"`
-	// Others is the estimate of the calls of other hosts.
-	Others float64 `json:"others"`
+	// Flight is this host's, Others that of the other hosts.
+	Flight Flight `json:"flight"`
+	Others Flight `json:"others"`
+	// Heard is the boot time of the last byte from the target.
+	Heard time.Duration `json:"heard"`
 	// Waiting is the number of requests that waited at the last report.
 	Waiting int `json:"waiting"`
 	// Risk is the share of attempts that failed lately.
@@ -86,14 +109,16 @@
 
 type state struct {
 	Target
-	calls, tokens int
-	others        float64
-	othersAt      time.Duration
-	waiting       int
-	risk          float64
-	riskAt        time.Duration
-	downUntil     time.Duration
-	downs         int
+	flight   Flight
+	reported float64
+	// reportedAt is when a reply stated the load.
+	reportedAt time.Duration
+	waiting    int
+	heard      time.Duration
+	risk       float64
+	riskAt     time.Duration
+	downUntil  time.Duration
+	downs      int
 	// learned holds versions that replies stated, with the time.
 	learned   map[string]int
 	learnedAt time.Duration
@@ -125,13 +150,21 @@
 	changed  func(Change)
 	targets  map[string]*state
 	services map[string][]*state
+	// others holds the flights that other hosts told, by host.
+	others map[string]told
 	// graceEnd is the end of the time in which lapsed entries may return.
 	graceEnd time.Duration
 }
 
+// told is what another host said.
+type told struct {
+	at      time.Duration
+	flights map[string]Flight
+}
+
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{now: wire.Boot, changed: func(Change) {}, targets: map[string]*state{}}
+	f := &Fleet{now: wire.Boot, changed: func(Change) {}, targets: map[string]*state{}, others: map[string]told{}}
 	for _, o := range opts {
 		o(f)
 	}
@@ -139,29 +172,68 @@
 	return f
 }
 
-// Begin notes an attempt with a number of tokens. The function that it returns
-// notes the end; only its first call counts.
-func (f *Fleet) Begin(id string, tokens int) func(Outcome) {
+// Attempt is an attempt in flight.
+type Attempt struct {
+	fleet *Fleet
+	state *state
+	left  Flight
+	ended bool
+}
+
+// Begin notes an attempt.
+func (f *Fleet) Begin(id string, need Flight) *Attempt {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.targets[id]
 	if !ok {
-		return func(Outcome) {}
+		return &Attempt{fleet: f, ended: true}
 	}
-	s.calls++
-	s.tokens += tokens
-	var once sync.Once
-	return func(o Outcome) {
-		once.Do(func() { f.end(s, tokens, o) })
+	need.Calls = 1
+	s.flight = s.flight.Add(need)
+	return &Attempt{fleet: f, state: s, left: need}
+}
+
+// Heard notes that the target has sent something; its prompt has been read.
+func (a *Attempt) Heard() {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	if a.ended {
+		return
 	}
+	a.state.heard = a.fleet.now()
+	read := Flight{Unread: a.left.Unread, Fetching: a.left.Fetching}
+	a.state.flight = a.state.flight.Sub(read)
+	a.left = a.left.Sub(read)
 }
 
-func (f *Fleet) end(s *state, tokens int, o Outcome) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// Silent reports whether nothing at all came from the target for a time.
+func (a *Attempt) Silent(d time.Duration) bool {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	return !a.ended && a.fleet.now()-a.state.heard > d
+}
+
+// Idle reports whether no request waited at the target when it last said so.
+func (a *Attempt) Idle() bool {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	return !a.ended && a.state.waiting == 0
+}
+
+// End notes the end; only its first call counts.
+func (a *Attempt) End(o Outcome) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.state.flight = a.state.flight.Sub(a.left)
+	a.fleet.end(a.state, o)
+}
+
+func (f *Fleet) end(s *state, o Outcome) {
 	now := f.now()
-	s.calls--
-	s.tokens -= tokens
 	switch o {
 	case Served:
 		s.note(0, now)
@@ -184,7 +256,7 @@
 	if !ok {
 		return Status{}, false
 	}
-	return s.status(f.now()), true
+	return f.status(s, f.now()), true
 }
 
 // Learn notes the weight version that a target stated in a reply.
@@ -286,9 +358,9 @@
 		return
 	}
 	now := f.now()
-	others := math.Max(float64(l.Running+l.Waiting-s.calls), 0)
-	s.others = (s.otherCalls(now) + others) / 2
-	s.othersAt = now
+	others := math.Max(float64(l.Running+l.Waiting-s.flight.Calls), 0)
+	s.reported = (s.otherCalls(now) + others) / 2
+	s.reportedAt = now
 	s.waiting = l.Waiting
 }
 
@@ -302,7 +374,7 @@
 	out := make([]Status, 0, len(list))
 	for _, s := range list {
 		if !s.Leaving {
-			out = append(out, s.status(now))
+			out = append(out, f.status(s, now))
 		}
 	}
 	return out
@@ -316,7 +388,7 @@
 	f.expire(now)
 	out := make([]Status, 0, len(f.targets))
 	for _, s := range f.targets {
-		out = append(out, s.status(now))
+		out = append(out, f.status(s, now))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
@@ -353,10 +425,53 @@
 	}
 }
 
+// otherFlight returns what the other hosts have in flight at a target: what they
+// told, or what its load reports suggest if none of them was heard.
+func (f *Fleet) otherFlight(s *state, now time.Duration) Flight {
+	var sum Flight
+	heard := false
+	for _, t := range f.others {
+		if now-t.at > toldMemory {
+			continue
+		}
+		heard = true
+		sum = sum.Add(t.flights[s.ID])
+	}
+	if !heard {
+		sum.Calls = int(math.Round(s.otherCalls(now)))
+	}
+	return sum
+}
+
+// Told notes what another host has in flight.
+func (f *Fleet) Told(host string, flights map[string]Flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.others[host] = told{at: f.now(), flights: flights}
+}
+
+// Flights returns what this host has in flight.
+func (f *Fleet) Flights() map[string]Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]Flight{}
+	for id, s := range f.targets {
+		if s.flight != (Flight{}) {
+			out[id] = s.flight
+		}
+	}
+	return out
+}
+
+func (f *Fleet) status(s *state, now time.Duration) Status {
+	st := s.status(now)
+	st.Others = f.otherFlight(s, now)
+	return st
+}
+
 func (s *state) status(now time.Duration) Status {
 	st := Status{
-		Target: s.Target, Calls: s.calls, Tokens: s.tokens, Others: s.otherCalls(now),
-		Waiting: s.waiting, Risk: s.riskNow(now), Down: now < s.downUntil,
+		Target: s.Target, Flight: s.flight, Heard: s.heard, Waiting: s.waiting, Risk: s.riskNow(now), Down: now < s.downUntil,
 	}
 	if s.learned != nil && now-s.learnedAt < versionGrace {
 		st.Versions = make(map[string]int, len(s.Versions))
@@ -379,7 +494,7 @@
 }
 
 func (s *state) otherCalls(now time.Duration) float64 {
-	return s.others * math.Exp2(-float64(now-s.othersAt)/float64(othersHalf))
+	return s.reported * math.Exp2(-float64(now-s.reportedAt)/float64(othersHalf))
 }
 
 func (s *state) riskNow(now time.Duration) float64 {
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -23,9 +23,10 @@
 	leaseName   = "orders"
 	progressKey = "progress"
 	// leaseTTL and leasePace decide how soon another host takes over.
-	leaseTTL     = 3 * time.Second
-	leasePace    = 700 * time.Millisecond
-	leaseTimeout = 600 * time.Millisecond
+	leaseTTL     = 1600 * time.Millisecond
+	leaseMargin  = 400 * time.Millisecond
+	leasePace    = 400 * time.Millisecond
+	leaseTimeout = 500 * time.Millisecond
 	freePeriod   = time.Second
 	// freeAfter is how long all engines have held the named weights before state
 	// of older ones is freed; it exceeds the longest fetch.
@@ -54,7 +55,7 @@
 	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}}
 	d.lease = lease.New(
 		d.table, leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(),
-		lease.WithTTL(leaseTTL), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
+		lease.WithTerms(leaseTTL, leaseMargin, h.settings.flight()), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
 	)
 	source := roll.Source{Named: h.operator.Models, Engines: d.engines, Learn: h.fleet.Learn}
 	d.roller = roll.New(h.settings.Name, d.lease, h.platform.Targets(), d, source, roll.WithLog(h.log))
@@ -86,7 +87,7 @@
 			for _, model := range v.Engine.Models {
 				out = append(out, roll.Engine{
 					ID: t.ID, Address: t.Address, Service: v.Name, Model: model,
-					Version: t.Versions[model], Calls: t.Calls, Down: t.Down,
+					Version: t.Versions[model], Calls: t.Flight.Calls + t.Others.Calls, Down: t.Down,
 				})
 			}
 		}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -12,6 +12,7 @@
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gate"
+	"sesamehill.example/sesamehill/internal/hail"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/roll"
@@ -126,6 +127,7 @@
 	t.Add("idle", h.sweepIdle)
 	t.Add("stores", h.pollers.Run)
 	t.Add("members", h.members.Run)
+	t.Add("hail", hail.New(h.settings.Peer, h.settings.Name, h.fleet, h.members.peers, hail.WithLog(h.log), hail.WithChanged(h.gate.Kick)).Run)
 	h.duty.add(t)
 	return errors.Trace(t.Run(parts))
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -46,9 +46,8 @@
 	table  Table
 	writes uint64
 
-	mu   sync.Mutex
-	seen map[string]sighting
-	// most is the largest number of hosts seen lately.
+	mu    sync.Mutex
+	seen  map[string]sighting
 	known bool
 }
 
@@ -139,6 +138,20 @@
 	return max(len(m.live(wire.Boot())), minHosts)
 }
 
+// peers returns the addresses of the other hosts of the region.
+func (m *members) peers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := wire.Boot()
+	var out []string
+	for name, s := range m.seen {
+		if now-s.at < memberMemory && name != m.host.settings.Name && s.Peer != "" {
+			out = append(out, s.Peer)
+		}
+	}
+	return out
+}
+
 // names returns the hosts that are alive.
 func (m *members) names() []string {
 	m.mu.Lock()
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -125,8 +125,14 @@
 	}
 }
 
+// flight is how long a new holder of the lease waits before its first order, so
+// that orders of two holders are further apart than the platform demands.
+func (s Settings) flight() time.Duration {
+	return time.Duration(s.Lease*float64(time.Millisecond)) - leaseMargin + leaseMargin/2
+}
+
 // staleMargin is the time that a request may take to reach its engine and begin.
-const staleMargin = 1500 * time.Millisecond
+const staleMargin = 2200 * time.Millisecond
 
 func (s Settings) staleLimit() time.Duration {
 	return max(time.Duration(s.Weights*float64(time.Millisecond))-staleMargin, 0)
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/site"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -34,27 +35,31 @@
 func (broken) ending() {}
 func (over) ending()   {}
 
-// firstEventAims bounds the wait for the first event of a stream that can be
-// sent to another target, in multiples of the route's goal.
-const firstEventAims = 2
+const (
+	// stallPeriod is the time between two looks at a silent stream.
+	stallPeriod = 200 * time.Millisecond
+	// silentLimit is how long a target may send nothing to anybody here before a
+	// stream that can go on elsewhere leaves it.
+	silentLimit = 800 * time.Millisecond
+	// stallGoals bounds the wait for the next event of a target at which nothing
+	// waits, in multiples of the route's goal.
+	stallGoals = 3
+)
 
 // attempt sends a request to one target and relays the answer.
 func (g *Gate) attempt(ctx context.Context, j *job, c choice) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	tokens := 0
-	if j.Prompt != nil {
-		tokens = j.Prompt.In + j.Prompt.Out
-	}
 	id := j.ID + "/" + c.ID
 	if !g.poison.Begin(j.print, id, c.ID, time.Now()) {
+		c.attempt.End(fleet.Left)
 		j.tried[c.ID] = true
 		return again{reason: "another trial of a suspect request runs there"}
 	}
-	end := g.fleet.Begin(c.ID, tokens)
 	sent := wire.Boot()
 	out, outcome := g.exchange(ctx, cancel, j, c)
-	end(outcome)
+	c.attempt.End(outcome)
+	defer g.Kick()
 	g.poison.End(id, crash(outcome, g.fleet, c.ID), time.Now())
 	g.Metrics.Time("attempt", wire.Boot()-sent)
 	if a, ok := out.(again); ok {
@@ -88,39 +93,46 @@
 	if err != nil {
 		return broken{reason: err.Error()}, fleet.Left
 	}
-	hedge := g.hedge(j, cancel)
+	stop := g.watch(ctx, cancel, j, c)
+	defer stop()
 	resp, err := g.transport(j).RoundTrip(req)
-	if !hedge.Stop() && j.route.Kind == site.Streaming && err == nil {
-		_ = resp.Body.Close() // the timer has ended the attempt
-		err = errSlow
-	}
 	if err != nil {
 		return g.unanswered(ctx, j, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // read to its end, or given up
 	j.arrivals++
+	c.attempt.Heard()
 	reply := g.codec.ReadReply(s, resp)
 	g.learn(c, s, reply)
-	return g.answer(ctx, j, reply, resp)
+	return g.answer(ctx, j, c, reply, resp)
 }
 
-var errSlow = errors.New("the first event did not come in time")
-
-// hedge ends an attempt whose first event is late if the stream may be sent to
-// another target.
-func (g *Gate) hedge(j *job, cancel context.CancelCauseFunc) *time.Timer {
-	late := j.end - wire.Boot()
-	if j.route.Kind == site.Streaming && j.route.Resumable && j.attempts+1 < j.route.Attempts {
-		late = min(late, max(firstEventAims*j.route.Goal, time.Second))
-	} else {
-		late += time.Hour
-	}
-	return time.AfterFunc(late, func() { cancel(errSlow) })
+var errSlow = errors.New("the target has fallen silent")
+
+// watch ends an attempt at a silent target if the request may go on at another
+// one. A stream whose target answers others waits its turn.
+func (g *Gate) watch(ctx context.Context, cancel context.CancelCauseFunc, j *job, c choice) func() {
+	if j.route.Kind != site.Streaming || !j.route.Resumable || j.attempts+1 >= j.route.Attempts {
+		return func() {}
+	}
+	begin := wire.Boot()
+	limit := max(stallGoals*j.route.Goal, 2*silentLimit)
+	ctx, stop := context.WithCancel(ctx)
+	go func() {
+		for pause.For(ctx, stallPeriod) == nil {
+			quiet := wire.Boot() - max(begin, time.Duration(j.heard.Load()))
+			if quiet > silentLimit && c.attempt.Silent(silentLimit) || quiet > limit && c.attempt.Idle() {
+				cancel(errSlow)
+				return
+			}
+		}
+	}()
+	return stop
 }
 
 // unanswered decides about an attempt that brought no answer.
 func (g *Gate) unanswered(ctx context.Context, j *job, err error) (ending, fleet.Outcome) {
-	slow := errors.Is(context.Cause(ctx), errSlow) || errors.Is(err, errSlow)
+	slow := errors.Is(context.Cause(ctx), errSlow)
 	if ctx.Err() != nil && !slow {
 		j.attempts++
 		var unsent *wire.UnsentError
@@ -147,7 +159,7 @@
 }
 
 // answer decides about the head of an answer and relays it.
-func (g *Gate) answer(ctx context.Context, j *job, r Reply, resp *http.Response) (ending, fleet.Outcome) {
+func (g *Gate) answer(ctx context.Context, j *job, c choice, r Reply, resp *http.Response) (ending, fleet.Outcome) {
 	switch {
 	case r.NotRun:
 		reason := "the target did not run it"
@@ -168,7 +180,7 @@
 		return again{reason: "the target failed"}, fleet.Served
 	}
 	if j.route.Kind == site.Streaming && r.Status < http.StatusMultipleChoices {
-		return g.relay(ctx, j, r, resp)
+		return g.relay(ctx, j, c, r, resp)
 	}
 	return g.buffer(ctx, j, r, resp)
 }
@@ -176,14 +188,10 @@
 // send describes an attempt that starts now.
 func (g *Gate) send(j *job, c choice) Send {
 	s := Send{Call: j.Call, Target: c.Target, Left: j.end - wire.Boot(), LastEvent: j.last, State: c.state}
-	s.Priority = j.route.Priority
 	if j.account != nil {
 		s.Account = j.account.Name
-		if j.account.HasPriority {
-			s.Priority = j.account.Priority
-		}
 	}
-	s.Priority = min(max(s.Priority, 0), 9)
+	s.Priority = min(max(j.priority(), 0), 9)
 	return s
 }
 
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -17,43 +17,36 @@
 // their full worth, less the time to begin.
 const staleGrace = 1200 * time.Millisecond
 
-// choice is a target with what was believed about it.
+// choice is a reserved target.
 type choice struct {
 	fleet.Status
-	state *State
+	state   *State
+	attempt *fleet.Attempt
+	// sent is the boot time of the reservation.
+	sent time.Duration
 }
 
-// choose returns the target of the next attempt.
-func (g *Gate) choose(j *job) (choice, bool) {
-	serving := g.fleet.Serving(j.service.Name)
-	open := serving[:0]
-	for _, s := range serving {
-		if !j.tried[s.ID] && !g.weights.Loading(s.ID) && !g.outdated(j, s) {
-			open = append(open, s)
-		}
-	}
-	if len(open) == 0 {
-		return choice{}, false
-	}
-	cs := make([]place.Candidate, len(open))
-	for i, s := range open {
-		cs[i] = g.candidate(j, s)
-	}
-	i, ok := g.best(j, cs)
-	if !ok {
-		return choice{}, false
-	}
-	c := choice{Status: open[i]}
+// reserve notes an attempt at a target and decides how it uses kept state.
+func (g *Gate) reserve(j *job, s fleet.Status, c place.Candidate, of int) choice {
+	out := choice{Status: s, sent: wire.Boot()}
+	need := fleet.Flight{}
 	if j.Prompt != nil {
-		version := c.Versions[j.Prompt.Model]
+		version := s.Versions[j.Prompt.Model]
 		scope := g.keeper.Scope(j.Prompt.Model, version, j.account)
-		c.state = g.keeper.Plan(j.Prompt, scope, version, c.Target)
+		out.state = g.keeper.Plan(j.Prompt, scope, version, s.Target)
+		w := work(j.Prompt)
+		need.Tokens = w.Shared + w.Own + j.Prompt.Out
+		need.Unread = w.Own + w.Shared - min(max(c.Resident, c.Stored), w.Shared)
+		if c.Stored > c.Resident {
+			need.Fetching = c.Stored
+		}
 	}
-	g.logPlaced(j, c, cs[i], len(cs))
-	return c, true
+	out.attempt = g.fleet.Begin(s.ID, need)
+	g.logPlaced(j, out, c, of)
+	return out
 }
 
-func (g *Gate) best(j *job, cs []place.Candidate) (int, bool) {
+func (g *Gate) best(j *job, cs []place.Candidate) place.Choice {
 	if j.Prompt == nil {
 		return place.Plain(cs, g.costs)
 	}
@@ -61,9 +54,10 @@
 }
 
 func (g *Gate) candidate(j *job, s fleet.Status) place.Candidate {
+	all := s.Flight.Add(s.Others)
 	c := place.Candidate{
-		ID: s.ID, Distance: g.distance(s.Zone), Calls: float64(s.Calls) + s.Others,
-		Waiting: float64(s.Waiting), Slots: s.Slots, Tokens: s.Tokens, Risk: s.Risk, Down: s.Down,
+		ID: s.ID, Distance: g.distance(s.Zone), Calls: all.Calls, Slots: s.Slots, Tokens: all.Tokens,
+		Unread: all.Unread, FetchingMs: g.keeper.FetchMs(all.Fetching), Risk: s.Risk, Down: s.Down,
 	}
 	if j.Prompt == nil {
 		return c
@@ -110,7 +104,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("target", c.ID), zap.Int("of", n), zap.Int("attempt", j.arrivals+1),
-		zap.Float64("calls", k.Calls), zap.Float64("waiting", k.Waiting), zap.Float64("risk", k.Risk),
+		zap.Int("calls", k.Calls), zap.Int("tokens", k.Tokens), zap.Int("unread", k.Unread), zap.Float64("fetching", k.FetchingMs), zap.Float64("fetchms", k.FetchMs), zap.Float64("risk", k.Risk),
 		zap.Uint64("site", j.site.Version), zap.Int64("left", (j.end - wire.Boot()).Milliseconds()),
 	}
 	if c.state != nil {
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -89,6 +89,7 @@
 	g.Metrics.Time(what, took)
 	fields := []zap.Field{
 		zap.Int("status", status), zap.Int64("took", took.Milliseconds()),
+		zap.Int64("waited", j.waited.Milliseconds()), zap.Int64("first", j.first.Milliseconds()),
 		zap.Int("attempts", j.attempts), zap.Int("arrivals", j.arrivals),
 	}
 	if j.route != nil {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -72,6 +72,11 @@
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window
+
+	// placing makes the choice of a target and its reservation one step; waiting
+	// holds the requests without room by service.
+	placing sync.Mutex
+	waiting map[string][]*waiter
 }
 
 // New returns a gate that knows no site yet and answers 503.
@@ -82,7 +87,7 @@
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.Defaults(),
 		kept: wire.NewTransport(wire.Kept), fresh: wire.NewTransport(wire.Fresh),
-		windows: map[string]*retry.Window{}, Metrics: newMetrics(), poison: poison.New(),
+		windows: map[string]*retry.Window{}, waiting: map[string][]*waiter{}, Metrics: newMetrics(), poison: poison.New(),
 	}
 	for _, o := range opts {
 		o(g)
@@ -125,6 +130,8 @@
 type noKeeper struct{}
 
 func (noKeeper) Weigh(*Prompt, string, fleet.Target) (int, int, float64) { return 0, 0, 0 }
+func (noKeeper) Fetched([]string, float64, time.Duration)                {}
+func (noKeeper) FetchMs(int) float64                                     { return 0 }
 func (noKeeper) Plan(*Prompt, string, int, fleet.Target) *State          { return nil }
 func (noKeeper) Scope(string, int, *site.Account) string                 { return "" }
 
--- a/internal/gate/handle.go
+++ b/internal/gate/handle.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,6 +50,10 @@
 	// begun is set once the caller has the head of an answer.
 	begun bool
 	last  string
+	// waited is the time spent without room, first the time to the first event.
+	waited, first time.Duration
+	// heard is the boot time of the last event of the attempt under way.
+	heard atomic.Int64
 }
 
 // ServeHTTP serves a caller's request.
@@ -125,6 +130,14 @@
 	j.end = j.Arrived + wait - answerMargin
 }
 
+// priority returns the rank of a request; 0 is the most urgent.
+func (j *job) priority() int {
+	if j.account != nil && j.account.HasPriority {
+		return j.account.Priority
+	}
+	return j.route.Priority
+}
+
 func readBody(r *http.Request, limit int) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -151,23 +164,36 @@
 		return
 	}
 	for {
-		target, ok := g.choose(j)
-		if !ok {
-			g.exhausted(j, "no target is left")
-			return
-		}
 		if j.arrivals > 0 && !g.window(j.service.Name).Repeat(wire.Boot(), g.hosts()) {
 			g.exhausted(j, "the share of repeats is used up")
 			return
 		}
-		out := g.attempt(ctx, j, target)
-		if _, again := out.(again); !again {
-			g.finish(ctx, j, out)
+		switch v := g.acquire(ctx, j).(type) {
+		case unplaced:
+			g.exhausted(j, "no target is left")
+			return
+		case expired:
+			g.waitedOut(ctx, j, v.waited)
 			return
+		case granted:
+			out := g.attempt(ctx, j, v.choice)
+			if _, again := out.(again); !again {
+				g.finish(ctx, j, out)
+				return
+			}
 		}
 	}
 }
 
+// waitedOut ends a request that found no room in time.
+func (g *Gate) waitedOut(ctx context.Context, j *job, waited time.Duration) {
+	if ctx.Err() != nil {
+		g.timedOut(ctx, j, context.Cause(ctx))
+		return
+	}
+	g.exhausted(j, "no target had room for "+waited.Round(time.Millisecond).String())
+}
+
 // exhausted ends a request for which no further attempt is possible.
 func (g *Gate) exhausted(j *job, reason string) {
 	switch {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -25,18 +25,25 @@
 var eventEnd = []byte("\n\n")
 
 // relay passes a stream on by whole events.
-func (g *Gate) relay(ctx context.Context, j *job, r Reply, resp *http.Response) (ending, fleet.Outcome) {
+func (g *Gate) relay(ctx context.Context, j *job, c choice, r Reply, resp *http.Response) (ending, fleet.Outcome) {
 	var held []byte
 	chunk := make([]byte, readBytes)
-	begin := wire.Boot()
 	first := true
 	for {
 		n, err := resp.Body.Read(chunk)
 		held = append(held, chunk[:n]...)
+		if n > 0 {
+			c.attempt.Heard()
+			j.heard.Store(int64(wire.Boot()))
+		}
 		if cut := bytes.LastIndex(held, eventEnd); cut >= 0 {
 			if first {
 				first = false
-				g.Metrics.Time("first event", wire.Boot()-j.Arrived)
+				j.first = wire.Boot() - j.Arrived
+				g.Metrics.Time("first event", j.first)
+				if c.state != nil {
+					g.keeper.Fetched(c.state.Fetch, c.state.FetchMs, wire.Boot()-c.sent)
+				}
 			}
 			if !g.forward(j, r, held[:cut+len(eventEnd)]) {
 				return over{cause: context.Canceled}, fleet.Left
@@ -49,7 +56,6 @@
 		case err != nil || len(held) > maxEvent:
 			return g.streamBroke(ctx, j, err)
 		}
-		_ = begin
 	}
 }
 
@@ -65,7 +71,7 @@
 }
 
 func (g *Gate) streamBroke(ctx context.Context, j *job, err error) (ending, fleet.Outcome) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSlow) {
 		return over{cause: context.Cause(ctx)}, fleet.Left
 	}
 	reason := "an event is too long"
--- a/internal/gate/types.go
+++ b/internal/gate/types.go
@@ -76,6 +76,8 @@
 	Save  []string
 	// Until is the end of the fetch on the targets' clock; zero without a fetch.
 	Until int64
+	// FetchMs is the expected time of the fetch.
+	FetchMs float64
 }
 
 // Reply is what a target's answer says besides its body.
@@ -113,6 +115,10 @@
 	// Weigh returns how many of the shared tokens the target is expected to hold,
 	// how many a fetch brings, and how long the fetch takes in milliseconds.
 	Weigh(p *Prompt, scope string, t fleet.Target) (resident, stored int, fetchMs float64)
+	// FetchMs returns the time to fetch a number of tokens from a near store.
+	FetchMs(tokens int) float64
+	// Fetched notes the time to the first event after a fetch from addresses.
+	Fetched(addresses []string, expectedMs float64, took time.Duration)
 	// Plan returns the state of an attempt that is about to be sent.
 	Plan(p *Prompt, scope string, version int, t fleet.Target) *State
 	// Scope returns the scope of an account's state under a weight version.
--- /dev/null
+++ b/internal/hail/hail.go
@@ -0,0 +1,134 @@
+// Package hail tells the hosts of a region what each of them has in flight.
+//
+// Targets report their load late, and each host sees only its own requests. A
+// host sends a small datagram several times a second to the hosts that it knows.
+// A datagram that is lost is made good by the next; nothing depends on one.
+//
+// # Usage
+//
+//	h := hail.New(address, self, fleet, peers)
+//	tree.Add("hail", h.Run)
+package hail
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/pause"
+)
+
+const (
+	// minPeriod and maxPeriod bound the time between two datagrams to a host, and
+	// perPeer is what each further host adds, so that the traffic stays flat.
+	minPeriod = 60 * time.Millisecond
+	maxPeriod = 500 * time.Millisecond
+	perPeer   = 10 * time.Millisecond
+	// maxDatagram bounds a datagram.
+	maxDatagram = 32 << 10
+)
+
+// Message is what a host tells the others.
+type Message struct {
+	Host    string                  `cbor:"1,keyasint"`
+	Flights map[string]fleet.Flight `cbor:"2,keyasint,omitempty"`
+}
+
+// Check returns an error if the message cannot be used.
+func (m Message) Check() error {
+	if m.Host == "" {
+		return errors.New("message names no host; its sender must set one")
+	}
+	return nil
+}
+
+// Hailer sends and receives messages.
+type Hailer struct {
+	address string
+	host    string
+	fleet   *fleet.Fleet
+	peers   func() []string
+	changed func()
+	log     *zap.Logger
+}
+
+// Option changes a default of New.
+type Option func(*Hailer)
+
+// WithChanged sets a function that is called after each message.
+func WithChanged(f func()) Option { return func(h *Hailer) { h.changed = f } }
+
+// WithLog sets the log.
+func WithLog(l *zap.Logger) Option { return func(h *Hailer) { h.log = l } }
+
+// New returns a hailer that listens at an address; peers returns the addresses
+// of the other hosts.
+func New(address, host string, f *fleet.Fleet, peers func() []string, opts ...Option) *Hailer {
+	h := &Hailer{address: address, host: host, fleet: f, peers: peers, changed: func() {}, log: zap.NewNop()}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
+// Run sends and receives until ctx ends.
+func (h *Hailer) Run(ctx context.Context) error {
+	var c net.ListenConfig
+	conn, err := c.ListenPacket(ctx, "udp", h.address)
+	if err != nil {
+		return errors.Annotatef(err, "listen for other hosts on %s; free the address", h.address)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the receiver
+	defer stop()
+	go h.send(ctx, conn)
+	return h.receive(ctx, conn)
+}
+
+func (h *Hailer) send(ctx context.Context, conn net.PacketConn) {
+	for {
+		peers := h.peers()
+		period := min(max(time.Duration(len(peers))*perPeer, minPeriod), maxPeriod)
+		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
+			return
+		}
+		b, err := cbor.Marshal(Message{Host: h.host, Flights: h.fleet.Flights()})
+		if err != nil || len(b) > maxDatagram {
+			h.log.Warn("message to hosts not sent", zap.Int("bytes", len(b)), zap.Error(err))
+			continue
+		}
+		for _, p := range peers {
+			to, err := net.ResolveUDPAddr("udp", p)
+			if err != nil {
+				h.log.Debug("address of a host not usable", zap.String("address", p), zap.Error(err))
+				continue
+			}
+			_, _ = conn.WriteTo(b, to) // the next message makes up for a lost one
+		}
+	}
+}
+
+func (h *Hailer) receive(ctx context.Context, conn net.PacketConn) error {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+		var m Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil || m.Check() != nil {
+			h.log.Debug("message of a host not usable", zap.Error(err))
+			continue
+		}
+		h.fleet.Told(m.Host, m.Flights)
+		h.changed()
+	}
+}
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -131,6 +131,10 @@
 	Deadline time.Time
 	// Acquired is the time after the acquisition was confirmed.
 	Acquired time.Time
+	// Margin is the time before the deadline at which the holder stops, and Flight
+	// how long an order of an earlier holder may be in flight.
+	Margin time.Duration
+	Flight time.Duration
 }
 
 // LostError says that the host may not give orders.
@@ -146,12 +150,12 @@
 
 // Valid reports whether an order may be sent right now.
 func (h Held) Valid(now time.Time) bool {
-	return h.Record.Fence != 0 && now.Before(h.Deadline.Add(-margin))
+	return h.Record.Fence != 0 && now.Before(h.Deadline.Add(-h.Margin))
 }
 
 // Unfenced reports whether no order of an earlier holder can be in flight.
 func (h Held) Unfenced(now time.Time) bool {
-	return h.Valid(now) && !now.Before(h.Acquired.Add(flight))
+	return h.Valid(now) && !now.Before(h.Acquired.Add(h.Flight))
 }
 
 // Confirm returns the lease after a row was found that carries the write
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,6 +25,13 @@
 // WithFloor sets a function that returns the highest fence known from targets.
 func WithFloor(f func() uint64) Option { return func(l *Lease) { l.floor = f } }
 
+// WithTerms sets the time to live, the time before its end at which a holder
+// stops, and how long after an acquisition targets that ignore fences get no
+// order. Orders of two holders are at least margin and flight apart.
+func WithTerms(ttl, margin, flight time.Duration) Option {
+	return func(l *Lease) { l.ttl, l.margin, l.flight = ttl, margin, flight }
+}
+
 // WithPace sets the time between two steps. The default is a third of the time to
 // live.
 func WithPace(d time.Duration) Option { return func(l *Lease) { l.pace = d } }
@@ -50,6 +57,8 @@
 	floor   func() uint64
 	timeout time.Duration
 	ttl     time.Duration
+	margin  time.Duration
+	flight  time.Duration
 	pace    time.Duration
 	// readBack is set if the version of a written row is not known in advance.
 	readBack bool
@@ -71,7 +80,7 @@
 		floor: func() uint64 { return 0 },
 		// A host that dies is replaced after 10 s; a host that renews every third
 		// of that costs the platform 0.3 writes a second.
-		ttl: 10 * time.Second,
+		ttl: 10 * time.Second, margin: margin, flight: flight,
 	}
 	for _, o := range opts {
 		o(l)
@@ -142,7 +151,7 @@
 		return nil
 	}
 	l.token = uuid.NewString()
-	return l.write(ctx, Held{Version: take.Version}, Record{
+	return l.write(ctx, Held{Version: take.Version, Margin: l.margin, Flight: l.flight}, Record{
 		Holder: l.host, Token: l.token, Fence: take.Fence, TTL: l.ttl.Milliseconds(),
 	})
 }
--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -8,6 +8,9 @@
 //
 // # Usage
 //
-//	best, ok := place.Prompt(work, candidates, place.Defaults())
-//	best, ok := place.Plain(candidates, place.Defaults())
+//	switch c := place.Prompt(work, candidates, place.Defaults()).(type) {
+//	case place.At:   // send to candidates[c.Index]
+//	case place.Full: // wait for room
+//	case place.None: // refuse
+//	}
 package place
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -20,14 +20,16 @@
 type Candidate struct {
 	ID       string
 	Distance Distance
-	// Calls is the number of calls in flight there, of all hosts; Waiting is how
-	// many of them had not begun at the last report.
-	Calls   float64
-	Waiting float64
-	Slots   int
-	// Tokens is the memory in use by this host's calls, of Room in all.
-	Tokens int
-	Room   int
+	// Calls is the number of calls in flight there, of all hosts.
+	Calls int
+	Slots int
+	// Tokens is the memory that they need, of Room in all; Unread are the prompt
+	// tokens that must be read before, FetchingMs is the time for the fetches
+	// before.
+	Tokens     int
+	Room       int
+	Unread     int
+	FetchingMs float64
 	// Risk is the share of attempts that failed lately.
 	Risk float64
 	Down bool
@@ -57,56 +59,112 @@
 	ReadMs float64
 	// AgainMs is the extra cost of a shared token that is read again.
 	AgainMs float64
-	// CallMs is the delay that one call in flight adds, WaitMs that of a waiting
-	// one, HomeMs what an engine other than the home of a subject costs.
-	CallMs float64
-	WaitMs float64
-	HomeMs float64
+	// CallMs is the delay that one call in flight adds to a request with a prompt,
+	// PlainMs to another; HomeMs is what an engine other than the home of a subject
+	// costs.
+	CallMs  float64
+	PlainMs float64
+	HomeMs  float64
 	// RiskMs is the cost of a certain failure, DownMs that of a target which
 	// refused connections, StaleMs that of older weights.
 	RiskMs  float64
 	DownMs  float64
 	StaleMs float64
-	// FullMs is the cost of each place or share of memory that is missing.
-	FullMs float64
+	// UnreadLimit is the number of tokens to be read that a busy engine may have
+	// before it; more would wait there for longer than a request should.
+	UnreadLimit int
+	// RoomShare is the share of an engine's memory that calls may fill.
+	RoomShare float64
+	// SlotsOver is the number of calls that may wait at a target without a prompt.
+	SlotsOver int
 }
 
 // Defaults returns the weights for engines that read some 64 tokens in a
 // millisecond.
 func Defaults() Weights {
 	return Weights{
-		WayMs: [3]float64{1, 4, 42}, ReadMs: 1.0 / 64, AgainMs: 1.0 / 12,
-		CallMs: 8, WaitMs: 40, HomeMs: 60,
-		RiskMs: 1500, DownMs: 20000, StaleMs: 120, FullMs: 3000,
+		WayMs: [3]float64{1, 4, 42}, ReadMs: 1.0 / 64, AgainMs: 1.0 / 30,
+		CallMs: 3, PlainMs: 8, HomeMs: 60,
+		RiskMs: 1500, DownMs: 20000, StaleMs: 120,
+		UnreadLimit: 32000, RoomShare: 0.95, SlotsOver: 3,
 	}
 }
 
-// Prompt returns the index of the best engine for a request with a prompt.
-func Prompt(w Work, cs []Candidate, k Weights) (int, bool) {
+// Choice is the outcome of a placement: At, Full or None.
+type Choice interface{ choice() }
+
+// At names the index of the best candidate.
+type At struct{ Index int }
+
+// Full says that candidates exist, but that none has room now.
+type Full struct{}
+
+// None says that there is no candidate.
+type None struct{}
+
+func (At) choice()   {}
+func (Full) choice() {}
+func (None) choice() {}
+
+// Prompt chooses the engine of a request with a prompt.
+func Prompt(w Work, cs []Candidate, k Weights) Choice {
 	home := Home(w.Subject, cs)
-	best, least := -1, math.Inf(1)
-	for i, c := range cs {
-		cost := k.base(c) + k.queue(c) + k.prompt(w, c)
+	return pick(cs, func(i int, c Candidate) (float64, bool) {
+		missing := w.missing(c)
+		cost := k.base(c) + k.CallMs*float64(c.Calls) + float64(c.Unread)*k.ReadMs + c.FetchingMs + k.prompt(w, c)
 		if i != home {
 			cost += k.HomeMs
 		}
-		if cost < least {
-			best, least = i, cost
-		}
-	}
-	return best, best >= 0
+		return cost, k.fits(w, c, missing)
+	})
+}
+
+// Plain chooses the target of a request without a prompt.
+func Plain(cs []Candidate, k Weights) Choice {
+	return pick(cs, func(_ int, c Candidate) (float64, bool) {
+		cost := k.base(c) + k.PlainMs*float64(c.Calls)
+		return cost, c.Slots <= 0 || c.Calls < c.Slots+k.SlotsOver
+	})
 }
 
-// Plain returns the index of the best target for a request without a prompt.
-func Plain(cs []Candidate, k Weights) (int, bool) {
-	best, least := -1, math.Inf(1)
+// pick returns the cheapest candidate with room. A candidate that is down counts
+// only if there is no other.
+func pick(cs []Candidate, weigh func(i int, c Candidate) (cost float64, room bool)) Choice {
+	if len(cs) == 0 {
+		return None{}
+	}
+	best, least, up := -1, math.Inf(1), false
 	for i, c := range cs {
-		cost := k.base(c) + k.queue(c)
-		if cost < least {
+		cost, room := weigh(i, c)
+		up = up || !c.Down
+		if room && cost < least {
 			best, least = i, cost
 		}
 	}
-	return best, best >= 0
+	if best < 0 || cs[best].Down && up {
+		return Full{}
+	}
+	return At{Index: best}
+}
+
+// missing is the number of tokens that an engine must read.
+func (w Work) missing(c Candidate) int {
+	return w.Own + w.Shared - min(max(c.Resident, c.Stored), w.Shared)
+}
+
+// fits reports whether a request finds room at an engine. An engine without
+// calls takes every request.
+func (k Weights) fits(w Work, c Candidate, missing int) bool {
+	if c.Calls == 0 || c.Room <= 0 {
+		return true
+	}
+	switch {
+	case c.Slots > 0 && c.Calls >= c.Slots:
+		return false
+	case float64(c.Tokens+w.Shared+w.Own) > k.RoomShare*float64(c.Room):
+		return false
+	}
+	return c.Unread == 0 || c.Unread+missing <= k.UnreadLimit
 }
 
 // Home returns the index of the engine that every host prefers for a subject,
@@ -138,6 +196,12 @@
 	return s
 }
 
+// Weighted turns a rendezvous score into one that wins as often as the weight of
+// its member says.
+func Weighted(score uint64, weight float64) float64 {
+	return -weight / math.Log((float64(score>>11)+0.5)/(1<<53))
+}
+
 func (k Weights) base(c Candidate) float64 {
 	cost := k.WayMs[c.Distance] + k.RiskMs*c.Risk
 	if c.Down {
@@ -149,15 +213,6 @@
 	return cost
 }
 
-// queue is the delay by the calls that are there already.
-func (k Weights) queue(c Candidate) float64 {
-	cost := k.CallMs*c.Calls + k.WaitMs*c.Waiting
-	if over := c.Calls - float64(c.Slots); c.Slots > 0 && over > 0 {
-		cost += k.FullMs * over / float64(c.Slots)
-	}
-	return cost
-}
-
 // prompt is the time to bring the prompt into memory and what reading shared
 // parts again costs others.
 func (k Weights) prompt(w Work, c Candidate) float64 {
@@ -167,10 +222,5 @@
 	if c.Resident < c.Stored {
 		cost += c.FetchMs
 	}
-	if c.Room > 0 {
-		if over := c.Tokens + w.Shared + w.Own - c.Room; over > 0 {
-			cost += k.FullMs * float64(over) / float64(c.Room)
-		}
-	}
 	return cost
 }
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -16,7 +16,7 @@
 	// belief is how long a store's state is believed after a poll began.
 	belief = 1200 * time.Millisecond
 	// fetchLimit is how long a fetch may take from the time at which it is sent.
-	fetchLimit = 800 * time.Millisecond
+	fetchLimit = 1500 * time.Millisecond
 	// settle is how long a store takes nothing after a restart was noticed. It
 	// exceeds belief and fetchLimit together, so that no host still fetches what
 	// is being written again.
@@ -74,6 +74,7 @@
 	heard, open time.Duration
 	held        map[Key]int
 	used        int
+	pace        pace
 	// saving holds parts whose save was asked for, with the time.
 	saving map[Key]time.Duration
 }
@@ -256,6 +257,8 @@
 	Parts  int    `json:"parts"`
 	Used   int    `json:"used"`
 	Tokens int    `json:"tokens"`
+	// Pace is how many times longer than expected fetches take.
+	Pace float64 `json:"pace"`
 	// Age is how long ago the store was heard, in milliseconds; -1 for never.
 	Age int64 `json:"age"`
 }
@@ -266,7 +269,7 @@
 	defer c.mu.Unlock()
 	out := make([]Stat, 0, len(c.order))
 	for _, s := range c.order {
-		st := Stat{Name: s.name, Epoch: s.epoch, Parts: len(s.held), Used: s.used, Tokens: s.Tokens, Age: -1}
+		st := Stat{Name: s.name, Epoch: s.epoch, Parts: len(s.held), Used: s.used, Tokens: s.Tokens, Pace: s.pace.at(c.now()), Age: -1}
 		if s.heard != 0 {
 			st.Age = (c.now() - s.heard).Milliseconds()
 		}
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -16,6 +16,16 @@
 const (
 	zoneFactor   = 2
 	regionFactor = 10
+	// readAgainMs is what reading a token again costs, and minFetchMs the time of a
+	// fetch that is always worth it.
+	readAgainMs = 0.04
+	minFetchMs  = 15
+	// fetchSlack bounds a fetch in multiples of its expected time, fetchLeast from
+	// below.
+	fetchSlack = 3
+	fetchLeast = 350 * time.Millisecond
+	// slowPace is the pace above which a store takes no more parts.
+	slowPace = 2.5
 	// defaultMs is the time to fetch a token if no engine is described.
 	defaultMs = 0.0075
 )
@@ -51,12 +61,34 @@
 		if s == nil {
 			continue
 		}
+		ms := c.partMs(s, part.Tokens, factor, now)
+		if !worth(part.Tokens, ms) {
+			continue
+		}
 		stored += part.Tokens
-		fetchMs += float64(part.Tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)
+		fetchMs += ms
 	}
 	return resident, stored, fetchMs
 }
 
+// partMs is the expected time to fetch a part from a store.
+func (c *Catalog) partMs(s *store, tokens int, factor float64, now time.Duration) float64 {
+	return (float64(tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)) * s.pace.at(now)
+}
+
+// worth reports whether a fetch is better than reading a part again, which costs
+// the engine's time and delays other requests there.
+func worth(tokens int, ms float64) bool {
+	return ms < float64(tokens)*readAgainMs+minFetchMs
+}
+
+// FetchMs returns the time to fetch a number of tokens from a near store.
+func (c *Catalog) FetchMs(tokens int) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(tokens) * c.tokenMs()
+}
+
 // Plan returns how an attempt at a target uses the stores.
 func (c *Catalog) Plan(p *gate.Prompt, scope string, version int, t fleet.Target) *gate.State {
 	c.mu.Lock()
@@ -66,12 +98,15 @@
 		Scope: scope, Version: version, Fetch: make([]string, len(p.Parts)), Save: make([]string, len(p.Parts)),
 	}
 	shared := p.Shared()
-	fetches := false
+	fetches, ms := false, 0.0
 	for i, part := range shared {
 		key := Key{scope, part.ID}
-		if s, _ := c.source(key, t.Zone, now); s != nil {
-			st.Fetch[i] = s.Address
-			fetches = true
+		if s, factor := c.source(key, t.Zone, now); s != nil {
+			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took) {
+				st.Fetch[i] = s.Address
+				fetches = true
+				ms += took
+			}
 			continue
 		}
 		if s := c.keep(key, part.Tokens, t.Zone, now); s != nil {
@@ -80,7 +115,9 @@
 		}
 	}
 	if fetches && c.hasOffset {
-		st.Until = now.Milliseconds() + c.offset + fetchLimit.Milliseconds()
+		limit := min(max(time.Duration(fetchSlack*ms*float64(time.Millisecond)), fetchLeast), fetchLimit)
+		st.Until = now.Milliseconds() + c.offset + limit.Milliseconds()
+		st.FetchMs = ms
 	}
 	if fetches && !c.hasOffset {
 		st.Fetch = make([]string, len(p.Parts)) // without a clock a fetch has no end
@@ -114,19 +151,24 @@
 // about to, or none has room.
 func (c *Catalog) keep(k Key, tokens int, zone string, now time.Duration) *store {
 	var best *store
-	most := uint64(0)
+	near, most := 0.0, 0.0
 	for _, s := range c.order {
 		if at, ok := s.saving[k]; ok && now-at < saveMemory {
 			return nil
 		}
+		if s.pace.at(now) > slowPace {
+			continue
+		}
 		if s.heard == 0 || now-s.heard > belief || now < s.open || c.regions[s.Zone] != c.regions[zone] {
 			continue
 		}
 		if float64(s.used+tokens) > fullShare*float64(s.Tokens) {
 			continue
 		}
-		if score := place.Score(k.Part, s.Address); best == nil || score > most {
-			best, most = s, score
+		factor := c.factor(s.Zone, zone)
+		score := place.Weighted(place.Score(k.Part, s.Address), float64(s.Tokens))
+		if best == nil || factor < near || factor == near && score > most {
+			best, near, most = s, factor, score
 		}
 	}
 	return best
