--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// wait is the length of a long poll; it bounds how long a silent connection
-	// goes unnoticed.
-	wait = 3 * time.Second
+	// wait is the length of a long poll. A silent connection is noticed sooner, by
+	// its keep-alive probes.
+	wait = 6 * time.Second
 	// slack is added to the wait before a call counts as failed.
 	slack       = 700 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
@@ -116,7 +116,7 @@
 		return err
 	}
 	if version < w.version {
-		return nil
+		return fmt.Errorf("table %q was at version %d after %d; ask again", w.table, version, w.version)
 	}
 	w.version = version
 	if len(rows) > 0 {
@@ -134,7 +134,7 @@
 		return err
 	}
 	if version < w.version {
-		return nil
+		return fmt.Errorf("table %q was listed at version %d after %d; list it again", w.table, version, w.version)
 	}
 	w.version, w.listed = version, true
 	w.regain()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,7 +25,7 @@
 	// othersHalf is the time in which the reported load of other hosts halves.
 	othersHalf = 700 * time.Millisecond
 	// toldMemory is how long the word of another host counts.
-	toldMemory = 1500 * time.Millisecond
+	toldMemory = 2500 * time.Millisecond
 	// versionGrace is how long a weight version learned from a reply goes before
 	// an older one in the list, which lags.
 	versionGrace = 4 * time.Second
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// dutyTable holds the lease of the host that gives orders, and its progress.
+	// dutyTable holds the progress of the host that gives orders, leaseTable its
+	// lease, which changes too often for every host to follow it.
 	dutyTable   = "sesame_duty"
+	leaseTable  = "sesame_lease"
 	leaseName   = "orders"
 	progressKey = "progress"
 	// leaseTTL and leasePace decide how soon another host takes over.
@@ -27,7 +29,9 @@
 	leaseMargin  = 400 * time.Millisecond
 	leasePace    = 400 * time.Millisecond
 	leaseTimeout = 500 * time.Millisecond
-	freePeriod   = time.Second
+	// contendPeriod is the time between two looks at who takes part in the lease.
+	contendPeriod = time.Second
+	freePeriod    = time.Second
 	// freeAfter is how long all engines have held the named weights before state
 	// of older ones is freed; it exceeds the longest fetch.
 	freeAfter = 4 * time.Second
@@ -54,7 +58,7 @@
 func newDuty(h *Host) *duty {
 	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}}
 	d.lease = lease.New(
-		d.table, leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(),
+		h.platform.Table(leaseTable), leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(),
 		lease.WithTerms(leaseTTL, leaseMargin, h.settings.flight()), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
 	)
 	source := roll.Source{Named: h.operator.Models, Engines: d.engines, Learn: h.fleet.Learn}
@@ -63,15 +67,36 @@
 }
 
 func (d *duty) add(t *tree.Tree) {
-	t.Add("lease", func(ctx context.Context) error {
-		d.lease.Run(ctx)
-		return nil
-	})
+	t.Add("lease", d.contend)
 	t.Add("orders", d.roller.Run)
 	t.Add("progress", feed.NewWatch(d.host.platform, dutyTable, d).Run)
 	t.Add("free", d.free)
 }
 
+// contend takes part in the lease while this host is one of the contenders. A
+// host that is none any more gives the lease up.
+func (d *duty) contend(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !d.host.members.contends() {
+			if pause.For(ctx, contendPeriod) != nil {
+				break
+			}
+			continue
+		}
+		turn, stop := context.WithCancel(ctx)
+		go func() {
+			for pause.For(turn, contendPeriod) == nil {
+				if !d.host.members.contends() {
+					stop()
+				}
+			}
+		}()
+		d.lease.Run(turn)
+		stop()
+	}
+	return nil
+}
+
 // engines returns all engines that the site describes.
 func (d *duty) engines() []roll.Engine {
 	s := d.host.gate.Site()
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -96,7 +96,7 @@
 	h.fleet = fleet.New(fleet.WithChanged(h.targetChanged))
 	h.poison = poison.New()
 	h.stash = stash.NewCatalog(s.Zones, stash.WithLog(h.log))
-	h.pollers = &pollers{catalog: h.stash, reader: p.Targets(), log: h.log, running: map[string]context.CancelFunc{}}
+	h.pollers = newPollers(h)
 	h.operator = &operator{decode: p, log: h.log, named: map[string]named{}, onSite: h.siteChanged}
 	h.lister = &lister{decode: p, fleet: h.fleet, log: h.log}
 	h.gate = gate.New(
@@ -124,6 +124,7 @@
 	t.Add("front", func(ctx context.Context) error { return h.server.Serve(ctx, h.settings.Front) })
 	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readiness()) })
 	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.admin()) })
+	t.Add("peers", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Peer, h.peerHandler()) })
 	t.Add("idle", h.sweepIdle)
 	t.Add("stores", h.pollers.Run)
 	t.Add("members", h.members.Run)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -18,15 +20,21 @@
 const (
 	// memberTable holds a row for each host.
 	memberTable = "sesame_hosts"
-	// memberPeriod is the time between two writes of a host's row.
-	memberPeriod = 2 * time.Second
+	// memberPeriod is the time between two writes of a host's row; it grows with
+	// the number of hosts up to maxMemberPeriod, so that the platform's calls do not.
+	memberPeriod    = 2 * time.Second
+	maxMemberPeriod = 4 * time.Second
+	fewHosts        = 10
 	// memberMemory is how long a host counts after its row changed last.
-	memberMemory  = 8 * time.Second
+	memberMemory  = 12 * time.Second
 	memberTimeout = 700 * time.Millisecond
 	// assumedHosts is the number of hosts that a host assumes to share budgets
 	// with before it knows better; minHosts is the least it ever assumes.
 	assumedHosts = 8
 	minHosts     = 2
+	// contenders is the number of hosts that try to hold the lease.
+	contenders = 4
+	hubKey     = "hub"
 	// maxRecords bounds the records of crashing requests in a row.
 	maxRecords = 64
 )
@@ -66,7 +74,11 @@
 	for {
 		m.write(ctx)
 		m.read(ctx)
-		if pause.For(ctx, memberPeriod*3/4+time.Duration(rand.Int64N(int64(memberPeriod/2)))) != nil {
+		period := memberPeriod
+		if m.count() > fewHosts {
+			period = maxMemberPeriod
+		}
+		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
 			return nil
 		}
 	}
@@ -138,18 +150,65 @@
 	return max(len(m.live(wire.Boot())), minHosts)
 }
 
-// peers returns the addresses of the other hosts of the region.
-func (m *members) peers() []string {
+// peers returns the addresses of the other hosts, those of this region and the
+// rest.
+func (m *members) peers() (near, far []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := wire.Boot()
-	var out []string
 	for name, s := range m.seen {
-		if now-s.at < memberMemory && name != m.host.settings.Name && s.Peer != "" {
-			out = append(out, s.Peer)
+		if now-s.at >= memberMemory || name == m.host.settings.Name || s.Peer == "" {
+			continue
 		}
+		if m.host.settings.Zones[s.Zone] == m.host.settings.Region {
+			near = append(near, s.Peer)
+			continue
+		}
+		far = append(far, s.Peer)
+	}
+	return near, far
+}
+
+// hubs returns the addresses of the hosts of the region that ask the stores, and
+// whether this host is one of them. There are none while few hosts are alive.
+func (m *members) hubs() (addresses []string, self bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := wire.Boot()
+	if len(m.live(now)) <= directHosts {
+		return nil, true
+	}
+	var ranked []sighting
+	for _, s := range m.seen {
+		if now-s.at < memberMemory && m.host.settings.Zones[s.Zone] == m.host.settings.Region {
+			ranked = append(ranked, s)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b sighting) int {
+		return cmp.Compare(place.Score(hubKey, b.Host), place.Score(hubKey, a.Host))
+	})
+	for _, s := range ranked[:min(hubs, len(ranked))] {
+		if s.Host == m.host.settings.Name {
+			return nil, true
+		}
+		addresses = append(addresses, s.Peer)
+	}
+	return addresses, false
+}
+
+// contends reports whether this host should try to hold the lease: only a few
+// hosts do, so that the platform's calls do not grow with their number.
+func (m *members) contends() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := m.live(wire.Boot())
+	if len(names) <= contenders || !slices.Contains(names, m.host.settings.Name) {
+		return true
 	}
-	return out
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Compare(place.Score(leaseName, b), place.Score(leaseName, a))
+	})
+	return slices.Contains(names[:contenders], m.host.settings.Name)
 }
 
 // names returns the hosts that are alive.
--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -2,37 +2,109 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/stash"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
-// pollers runs one poller for each store of the site in force.
+const (
+	// directHosts is the number of hosts up to which each asks the stores itself;
+	// a store takes few observers.
+	directHosts = 9
+	// hubs is the number of hosts of a region that ask the stores for the others.
+	hubs = 3
+	// roleFor is the time between two looks at which hosts ask the stores.
+	roleFor = time.Second
+)
+
+// pollers learns what the stores hold: from the stores themselves, or from hosts
+// that ask them.
 type pollers struct {
-	catalog *stash.Catalog
-	reader  stash.Reader
-	log     *zap.Logger
+	host   *Host
+	client *http.Client
 
 	mu      sync.Mutex
 	ctx     context.Context //nolint:containedctx // pollers start whenever the site changes
 	wanted  []string
+	direct  bool
 	running map[string]context.CancelFunc
 	group   sync.WaitGroup
+	// failed counts the failures of hubs in a row.
+	failed int
+}
+
+func newPollers(h *Host) *pollers {
+	return &pollers{
+		host: h, client: &http.Client{Transport: wire.NewTransport(wire.Kept)},
+		direct: true, running: map[string]context.CancelFunc{},
+	}
 }
 
-// Run runs the pollers until ctx ends.
+// Run learns until ctx ends.
 func (p *pollers) Run(ctx context.Context) error {
 	p.mu.Lock()
 	p.ctx = ctx
 	p.start()
 	p.mu.Unlock()
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		hubs := p.choose()
+		if len(hubs) == 0 {
+			if pause.For(ctx, roleFor) != nil {
+				break
+			}
+			continue
+		}
+		p.learn(ctx, hubs)
+	}
 	p.group.Wait()
 	return nil
 }
 
+// choose returns the hosts to learn from; none if this host asks the stores.
+func (p *pollers) choose() []string {
+	hubs, self := p.host.members.hubs()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	direct := self || len(hubs) == 0 || p.failed > len(hubs)
+	if direct != p.direct {
+		p.direct = direct
+		p.host.log.Info("stores asked", zap.Bool("direct", direct), zap.Strings("hubs", hubs), zap.Int("failed", p.failed))
+		p.start()
+	}
+	if p.failed > len(hubs) {
+		p.failed = 0
+	}
+	if direct {
+		return nil
+	}
+	return hubs
+}
+
+// learn asks one hub after the other until one answers.
+func (p *pollers) learn(ctx context.Context, hubs []string) {
+	p.mu.Lock()
+	hub := hubs[(p.failed+int(place.Score(p.host.settings.Name, "hub")%uint64(len(hubs))))%len(hubs)]
+	p.mu.Unlock()
+	began := wire.Boot()
+	d, err := p.ask(ctx, hub)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.failed++
+		p.host.log.Warn("host does not tell about stores", zap.String("peer", hub), zap.Error(err))
+		return
+	}
+	p.failed = 0
+	p.host.stash.Import(d, began)
+}
+
 // set sets the addresses to poll.
 func (p *pollers) set(addresses []string) {
 	p.mu.Lock()
@@ -47,13 +119,13 @@
 	}
 	wanted := map[string]bool{}
 	for _, a := range p.wanted {
-		wanted[a] = true
-		if _, ok := p.running[a]; ok {
+		wanted[a] = p.direct
+		if _, ok := p.running[a]; ok || !p.direct {
 			continue
 		}
 		ctx, cancel := context.WithCancel(p.ctx)
 		p.running[a] = cancel
-		poller := stash.NewPoller(p.catalog, p.reader, a, p.log)
+		poller := stash.NewPoller(p.host.stash, p.host.platform.Targets(), a, p.host.log)
 		p.group.Go(func() { _ = poller.Run(ctx) }) // it returns nil
 	}
 	for a, cancel := range p.running {
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -29,7 +29,10 @@
 	// perPeer is what each further host adds, so that the traffic stays flat.
 	minPeriod = 60 * time.Millisecond
 	maxPeriod = 500 * time.Millisecond
-	perPeer   = 10 * time.Millisecond
+	perPeer   = 5 * time.Millisecond
+	// farPerRound is the number of hosts of other regions for which a round more is
+	// left out, as the links between regions are narrow.
+	farPerRound = 5
 	// maxDatagram bounds a datagram.
 	maxDatagram = 32 << 10
 )
@@ -53,7 +56,7 @@
 	address string
 	host    string
 	fleet   *fleet.Fleet
-	peers   func() []string
+	peers   func() (near, far []string)
 	changed func()
 	log     *zap.Logger
 }
@@ -68,8 +71,8 @@
 func WithLog(l *zap.Logger) Option { return func(h *Hailer) { h.log = l } }
 
 // New returns a hailer that listens at an address; peers returns the addresses
-// of the other hosts.
-func New(address, host string, f *fleet.Fleet, peers func() []string, opts ...Option) *Hailer {
+// of the other hosts of the region and of the other regions.
+func New(address, host string, f *fleet.Fleet, peers func() (near, far []string), opts ...Option) *Hailer {
 	h := &Hailer{address: address, host: host, fleet: f, peers: peers, changed: func() {}, log: zap.NewNop()}
 	for _, o := range opts {
 		o(h)
@@ -91,9 +94,12 @@
 }
 
 func (h *Hailer) send(ctx context.Context, conn net.PacketConn) {
-	for {
-		peers := h.peers()
+	for round := 0; ; round++ {
+		peers, far := h.peers()
 		period := min(max(time.Duration(len(peers))*perPeer, minPeriod), maxPeriod)
+		if round%farRounds(len(far)) == 0 {
+			peers = append(peers, far...)
+		}
 		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
 			return
 		}
@@ -113,6 +119,9 @@
 	}
 }
 
+// farRounds is the number of rounds of which hosts of other regions get one.
+func farRounds(far int) int { return 1 + far/farPerRound }
+
 func (h *Hailer) receive(ctx context.Context, conn net.PacketConn) error {
 	buf := make([]byte, maxDatagram)
 	for {
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -1,6 +1,7 @@
 package stash
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +15,7 @@
 
 const (
 	// belief is how long a store's state is believed after a poll began.
-	belief = 1200 * time.Millisecond
+	belief = 1600 * time.Millisecond
 	// fetchLimit is how long a fetch may take from the time at which it is sent.
 	fetchLimit = 1500 * time.Millisecond
 	// settle is how long a store takes nothing after a restart was noticed. It
@@ -26,17 +27,22 @@
 	// residentMemory is how long an engine is expected to keep what it was sent.
 	residentMemory = 4 * time.Second
 	maxSends       = 1 << 15
+	// maxLog bounds the events of a store that are kept for other hosts.
+	maxLog = 2048
 	// fullShare is the share of a store's capacity up to which parts are saved.
 	fullShare = 0.97
 )
 
 // Key names a part within a scope.
-type Key struct{ Scope, Part string }
+type Key struct {
+	Scope string `cbor:"1,keyasint"`
+	Part  string `cbor:"2,keyasint"`
+}
 
 // Held is a complete part.
 type Held struct {
 	Key
-	Tokens int
+	Tokens int `cbor:"3,keyasint"`
 }
 
 // Listing is everything that a store holds.
@@ -51,7 +57,7 @@
 // Event says that a part became complete or was dropped.
 type Event struct {
 	Held
-	Added bool
+	Added bool `cbor:"4,keyasint"`
 }
 
 // Events are what happened at a store since a number.
@@ -75,6 +81,12 @@
 	held        map[Key]int
 	used        int
 	pace        pace
+	// log holds the newest changes, of which the last has the number changes. The
+	// numbers are this host's own.
+	log     []Event
+	changes uint64
+	// learned is how far the host knows the store from another host.
+	learned Cursor
 	// saving holds parts whose save was asked for, with the time.
 	saving map[Key]time.Duration
 }
@@ -102,6 +114,8 @@
 	// sends holds when a subject was last sent to a target.
 	sends  *lru.LRU[sendKey, time.Duration]
 	engine engineRates
+	// changed is closed at the next change of what the stores hold.
+	changed chan struct{}
 }
 
 type sendKey struct{ target, scope, part string }
@@ -119,6 +133,7 @@
 	}
 	c := &Catalog{
 		now: wire.Boot, log: zap.NewNop(), regions: regions, stores: map[string]*store{}, sends: sends,
+		changed: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(c)
@@ -145,6 +160,8 @@
 		}
 		c.stores[v.Store.Address] = &store{
 			Store: *v.Store, name: v.Name, held: map[Key]int{}, saving: map[Key]time.Duration{},
+			// A random beginning keeps the cursors of two runs of a host apart.
+			changes: rand.Uint64() >> 1,
 		}
 	}
 	for address := range c.stores {
@@ -179,13 +196,48 @@
 	}
 	c.clock(l.Clock)
 	c.epoch(s, l.Epoch)
-	s.held, s.used = make(map[Key]int, len(l.Held)), 0
-	for _, h := range l.Held {
-		s.add(h)
-	}
+	c.apply(s, s.difference(l.Held))
 	s.next, s.heard = l.Next, began
 }
 
+// difference returns the changes from what is known to what a list says.
+func (s *store) difference(listed []Held) []Event {
+	var events []Event
+	present := make(map[Key]bool, len(listed))
+	for _, h := range listed {
+		present[h.Key] = true
+		if tokens, ok := s.held[h.Key]; !ok || tokens != h.Tokens {
+			events = append(events, Event{Held: h, Added: true})
+		}
+	}
+	for k, tokens := range s.held {
+		if !present[k] {
+			events = append(events, Event{Held: Held{Key: k, Tokens: tokens}})
+		}
+	}
+	return events
+}
+
+// apply changes what a store is known to hold.
+func (c *Catalog) apply(s *store, events []Event) {
+	if len(events) == 0 {
+		return
+	}
+	for _, e := range events {
+		s.remove(e.Key)
+		if e.Added {
+			s.add(e.Held)
+		}
+	}
+	s.changes += uint64(len(events))
+	s.log = append(s.log, events...)
+	if over := len(s.log) - maxLog; over > 0 {
+		s.log = append([]Event(nil), s.log[over:]...)
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // Heard adds events of a store. It returns false if the store must be listed.
 func (c *Catalog) Heard(address string, e Events, began time.Duration) bool {
 	c.mu.Lock()
@@ -199,13 +251,7 @@
 		c.epoch(s, e.Epoch)
 		return false
 	}
-	for _, ev := range e.Events {
-		if ev.Added {
-			s.add(ev.Held)
-			continue
-		}
-		s.remove(ev.Key)
-	}
+	c.apply(s, e.Events)
 	s.next, s.heard = e.Next, began
 	return true
 }
@@ -227,13 +273,14 @@
 	if s.epoch == epoch {
 		return
 	}
-	now := c.now()
+	// A host that has just started does not know whether the store has, too.
+	s.open = c.now() + settle
 	if s.epoch != 0 {
-		s.open = now + settle
 		c.log.Info("store restarted", zap.String("store", s.name), zap.Uint64("epoch", epoch), zap.Uint64("before", s.epoch), zap.Int("parts", len(s.held)))
 	}
 	s.epoch, s.heard = epoch, 0
 	s.held, s.used, s.saving = map[Key]int{}, 0, map[Key]time.Duration{}
+	s.log, s.learned = nil, Cursor{}
 }
 
 // clock notes the targets' clock. An answer takes time, so that the offset is
