Go on with the lease after a restart, learn the age of named weights from other hosts

The restarted hosts took the newest weights for just named and sent to engines with older ones; VERSION was broken 9.9 s after the naming. The lease of the host's own earlier process was waited out.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -69,6 +69,7 @@
 	table   string
 	handler Handler
 
+	pace    func() time.Duration
 	version uint64
 	listed  bool
 	// lost is the boot time at which calls began to fail; zero while they work.
@@ -76,9 +77,20 @@
 	delay time.Duration
 }
 
+// Option changes a default of NewWatch.
+type Option func(*Watch)
+
+// WithPace sets the time between a change and the next call, in which further
+// changes gather.
+func WithPace(f func() time.Duration) Option { return func(w *Watch) { w.pace = f } }
+
 // NewWatch returns a watch of a table.
-func NewWatch(s Source, table string, h Handler) *Watch {
-	return &Watch{source: s, table: table, handler: h}
+func NewWatch(s Source, table string, h Handler, opts ...Option) *Watch {
+	w := &Watch{source: s, table: table, handler: h, pace: func() time.Duration { return 0 }}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
 }
 
 // Run follows the table until ctx ends.
@@ -90,6 +102,9 @@
 		}
 		if err == nil {
 			w.regain()
+			if pause.For(ctx, w.pace()) != nil {
+				break
+			}
 			continue
 		}
 		var gone *GoneError
--- a/internal/front/beliefs.go
+++ b/internal/front/beliefs.go
@@ -10,6 +10,7 @@
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gate"
+	"sesamehill.example/sesamehill/internal/hail"
 	"sesamehill.example/sesamehill/internal/site"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -41,11 +42,22 @@
 	version int
 	// at is the boot time.
 	at time.Duration
+	// dated is unset if the weights were named before this host could know.
+	dated bool
 }
 
-func (o *operator) Listed(rows []feed.Row) { o.Changed(rows) }
+// undatedAge is the age of weights that were named before the host started, as
+// long as no other host tells it: they may be long overdue.
+const undatedAge = time.Hour
 
-func (o *operator) Changed(rows []feed.Row) {
+func (o *operator) Listed(rows []feed.Row) {
+	o.read(rows, o.known.Load())
+}
+
+func (o *operator) Changed(rows []feed.Row) { o.read(rows, true) }
+
+// read reads rows; weights named in them have just been named if dated is set.
+func (o *operator) read(rows []feed.Row, dated bool) {
 	for _, r := range rows {
 		if r.Removed {
 			continue
@@ -55,7 +67,7 @@
 			continue
 		}
 		if model, version, ok := o.decode.Weights(r.Key, r.Value); ok {
-			o.name(model, version)
+			o.name(model, named{version: version, at: wire.Boot(), dated: dated})
 		}
 	}
 }
@@ -74,14 +86,37 @@
 	o.log.Info("site in force", zap.Uint64("site", s.Version), zap.Uint64("row", r.Version), zap.Int("routes", len(s.Routes)))
 }
 
-func (o *operator) name(model string, version int) {
+func (o *operator) name(model string, n named) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.named[model].version >= version {
+	old := o.named[model]
+	if old.version > n.version || old.version == n.version && (old.dated || !n.dated) {
 		return
 	}
-	o.named[model] = named{version: version, at: wire.Boot()}
-	o.log.Info("weights named", zap.String("model", model), zap.Int("version", version))
+	o.named[model] = n
+	o.log.Info(
+		"weights named", zap.String("model", model), zap.Int("version", n.version), zap.Bool("dated", n.dated),
+		zap.Int64("age", (wire.Boot()-n.at).Milliseconds()),
+	)
+}
+
+// Ages returns the versions whose age this host knows.
+func (o *operator) Ages() map[string]hail.Named {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := wire.Boot()
+	out := make(map[string]hail.Named, len(o.named))
+	for model, n := range o.named {
+		if n.dated {
+			out[model] = hail.Named{Version: n.version, Age: (now - n.at).Milliseconds()}
+		}
+	}
+	return out
+}
+
+// Heard takes over what another host knows about named weights.
+func (o *operator) Heard(model string, n hail.Named) {
+	o.name(model, named{version: n.Version, at: wire.Boot() - time.Duration(n.Age)*time.Millisecond, dated: true})
 }
 
 func (o *operator) Lost(err error) {
@@ -98,6 +133,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	n := o.named[model]
+	if !n.dated && n.version > 0 {
+		return n.version, undatedAge
+	}
 	return n.version, wire.Boot() - n.at
 }
 
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -58,7 +58,7 @@
 func newDuty(h *Host) *duty {
 	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}}
 	d.lease = lease.New(
-		h.platform.Table(leaseTable), leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(),
+		h.platform.Table(leaseTable), leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(), lease.WithSole(),
 		lease.WithTerms(leaseTTL, leaseMargin, h.settings.flight()), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
 	)
 	source := roll.Source{Named: h.operator.Models, Engines: d.engines, Learn: h.fleet.Learn}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -27,6 +27,10 @@
 	// host that has stopped being ready: it asks once a second and waits for two
 	// misses.
 	balancerLag = 2500 * time.Millisecond
+	// fastListPace and slowListPace are well below the time for which a leaving
+	// target takes requests.
+	fastListPace = 300 * time.Millisecond
+	slowListPace = time.Second
 	// exitMargin is left between the end of the drain and SIGKILL.
 	exitMargin = 700 * time.Millisecond
 )
@@ -120,7 +124,7 @@
 	context.AfterFunc(ctx, func() { h.drain(stop) })
 	t := tree.New("host", tree.WithLog(h.log), tree.WithStop(time.Second))
 	t.Add("operator", feed.NewWatch(h.platform, h.platform.OperatorTable(), h.operator).Run)
-	t.Add("targets", feed.NewWatch(h.platform, h.platform.TargetTable(), h.lister).Run)
+	t.Add("targets", feed.NewWatch(h.platform, h.platform.TargetTable(), h.lister, feed.WithPace(h.listPace)).Run)
 	t.Add("front", func(ctx context.Context) error { return h.server.Serve(ctx, h.settings.Front) })
 	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readiness()) })
 	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.admin()) })
@@ -128,7 +132,10 @@
 	t.Add("idle", h.sweepIdle)
 	t.Add("stores", h.pollers.Run)
 	t.Add("members", h.members.Run)
-	t.Add("hail", hail.New(h.settings.Peer, h.settings.Name, h.fleet, h.members.peers, hail.WithLog(h.log), hail.WithChanged(h.gate.Kick)).Run)
+	t.Add("hail", hail.New(
+		h.settings.Peer, h.settings.Name, h.fleet, h.members.peers,
+		hail.WithLog(h.log), hail.WithChanged(h.gate.Kick), hail.WithWeights(h.operator),
+	).Run)
 	h.duty.add(t)
 	return errors.Trace(t.Run(parts))
 }
@@ -153,6 +160,15 @@
 	h.log.Info("stopped")
 }
 
+// listPace is the time between two looks at the list of targets. Entries change
+// often, and each change would otherwise wake every host.
+func (h *Host) listPace() time.Duration {
+	if h.members.count() > fewHosts {
+		return slowListPace
+	}
+	return fastListPace
+}
+
 // Ready reports whether the host should get new connections.
 func (h *Host) Ready() bool {
 	return !h.leaving.Load() && h.operator.known.Load() && h.lister.known.Load() && h.fleet.Len() > 0
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -41,6 +41,22 @@
 type Message struct {
 	Host    string                  `cbor:"1,keyasint"`
 	Flights map[string]fleet.Flight `cbor:"2,keyasint,omitempty"`
+	// Named are the weights that the host knows to be named, by model.
+	Named map[string]Named `cbor:"3,keyasint,omitempty"`
+}
+
+// Named is a weight version and how long ago it was named, in milliseconds.
+type Named struct {
+	Version int   `cbor:"1,keyasint"`
+	Age     int64 `cbor:"2,keyasint"`
+}
+
+// Weights is what a host knows about named weights.
+type Weights interface {
+	// Ages returns the versions whose age the host knows.
+	Ages() map[string]Named
+	// Heard takes over what another host knows.
+	Heard(model string, n Named)
 }
 
 // Check returns an error if the message cannot be used.
@@ -58,6 +74,7 @@
 	fleet   *fleet.Fleet
 	peers   func() (near, far []string)
 	changed func()
+	weights Weights
 	log     *zap.Logger
 }
 
@@ -70,6 +87,9 @@
 // WithLog sets the log.
 func WithLog(l *zap.Logger) Option { return func(h *Hailer) { h.log = l } }
 
+// WithWeights sets what is told about named weights.
+func WithWeights(w Weights) Option { return func(h *Hailer) { h.weights = w } }
+
 // New returns a hailer that listens at an address; peers returns the addresses
 // of the other hosts of the region and of the other regions.
 func New(address, host string, f *fleet.Fleet, peers func() (near, far []string), opts ...Option) *Hailer {
@@ -103,7 +123,11 @@
 		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
 			return
 		}
-		b, err := cbor.Marshal(Message{Host: h.host, Flights: h.fleet.Flights()})
+		m := Message{Host: h.host, Flights: h.fleet.Flights()}
+		if h.weights != nil {
+			m.Named = h.weights.Ages()
+		}
+		b, err := cbor.Marshal(m)
 		if err != nil || len(b) > maxDatagram {
 			h.log.Warn("message to hosts not sent", zap.Int("bytes", len(b)), zap.Error(err))
 			continue
@@ -119,6 +143,15 @@
 	}
 }
 
+func (h *Hailer) heard(m Message) {
+	if h.weights == nil {
+		return
+	}
+	for model, n := range m.Named {
+		h.weights.Heard(model, n)
+	}
+}
+
 // farRounds is the number of rounds of which hosts of other regions get one.
 func farRounds(far int) int { return 1 + far/farPerRound }
 
@@ -138,6 +171,7 @@
 			continue
 		}
 		h.fleet.Told(m.Host, m.Flights)
+		h.heard(m)
 		h.changed()
 	}
 }
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -104,11 +104,12 @@
 func (Take) decision() {}
 func (Wait) decision() {}
 
-// Next decides for a host that does not hold the lease. Token is that of its own
+// Next decides for a host that does not hold the lease. A row that an earlier
+// process of the same host wrote is free, as that process has ended. Token is that of its own
 // last acquisition; a row that carries it was written by a lost reply or given
 // up, so nobody acts on it. Floor is the highest fence known from targets, which
 // is above the row's after a restore of the platform.
-func Next(v View, token string, floor uint64, now time.Time) Decision {
+func Next(v View, host, token string, floor uint64, now time.Time) Decision {
 	r := v.Record
 	take := Take{Version: v.Version, Fence: max(r.Fence, floor) + 1}
 	end := v.Since.Add(time.Duration(r.TTL) * time.Millisecond)
@@ -117,6 +118,8 @@
 		return take
 	case token != "" && r.Token == token:
 		return take
+	case host != "" && r.Holder == host:
+		return take
 	case now.After(end):
 		return take
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,6 +25,10 @@
 // WithFloor sets a function that returns the highest fence known from targets.
 func WithFloor(f func() uint64) Option { return func(l *Lease) { l.floor = f } }
 
+// WithSole says that a host runs one process at a time, so that a restarted one
+// goes on with the lease of the process before without waiting.
+func WithSole() Option { return func(l *Lease) { l.sole = true } }
+
 // WithTerms sets the time to live, the time before its end at which a holder
 // stops, and how long after an acquisition targets that ignore fences get no
 // order. Orders of two holders are at least margin and flight apart.
@@ -60,6 +64,8 @@
 	margin  time.Duration
 	flight  time.Duration
 	pace    time.Duration
+	// sole is set if a host runs one process at a time.
+	sole bool
 	// readBack is set if the version of a written row is not known in advance.
 	readBack bool
 
@@ -146,12 +152,20 @@
 	if l.view, err = l.view.Observe(row, l.now()); err != nil {
 		return juju.Annotatef(err, "lease %q", l.name)
 	}
-	take, ok := Next(l.view, l.token, l.floor(), l.now()).(Take)
+	own := ""
+	if l.sole {
+		own = l.host
+	}
+	take, ok := Next(l.view, own, l.token, l.floor(), l.now()).(Take)
 	if !ok {
 		return nil
 	}
 	l.token = uuid.NewString()
-	return l.write(ctx, Held{Version: take.Version, Margin: l.margin, Flight: l.flight}, Record{
+	held := Held{Version: take.Version, Margin: l.margin, Flight: l.flight}
+	if own != "" && l.view.Record.Holder == own {
+		held.Flight = 0 // no other host has given an order since
+	}
+	return l.write(ctx, held, Record{
 		Holder: l.host, Token: l.token, Fence: take.Fence, TTL: l.ttl.Milliseconds(),
 	})
 }
