--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,127 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+var _ = Describe("a fleet", func() {
+	var now time.Duration
+	var f *fleet.Fleet
+	target := func(id string, born int64) fleet.Target {
+		return fleet.Target{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 4, Born: born, Versions: map[string]int{"m": 1}}
+	}
+	ids := func() []string {
+		var out []string
+		for _, s := range f.Serving("s") {
+			out = append(out, s.ID)
+		}
+		return out
+	}
+	BeforeEach(func() {
+		now = time.Minute
+		f = fleet.New(fleet.WithClock(func() time.Duration { return now }))
+		f.Replace([]fleet.Target{target("a", 5), target("b", 5)})
+	})
+
+	// Guards against requests to a target that is gone.
+	It("drops what the list drops at once", func() {
+		f.Remove("a")
+		Expect(ids()).To(Equal([]string{"b"}))
+	})
+
+	// Guards against a whole service that vanishes because its entries lapsed while
+	// the list could not be written.
+	It("waits two seconds for entries that lapsed in an outage, and no longer", func() {
+		f.Regained()
+		f.Replace(nil)
+		now += 1800 * time.Millisecond
+		Expect(ids()).To(Equal([]string{"a", "b"}))
+		f.Put(target("a", 5))
+		now += 300 * time.Millisecond
+		Expect(ids()).To(Equal([]string{"a"}))
+	})
+
+	It("drops a leaving target also right after an outage", func() {
+		leaving := target("a", 5)
+		leaving.Leaving = true
+		f.Put(leaving)
+		f.Regained()
+		f.Remove("a")
+		_, ok := f.Get("a")
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against an entry of an earlier start that arrives late.
+	It("ignores an entry of an earlier start", func() {
+		f.Put(target("a", 9))
+		old := target("a", 5)
+		old.Leaving = true
+		f.Put(old)
+		Expect(ids()).To(Equal([]string{"a", "b"}))
+	})
+
+	// Guards against calls of an earlier start that are counted forever.
+	It("forgets the calls of a target that restarted", func() {
+		a := f.Begin("a", fleet.Flight{Tokens: 100})
+		f.Put(target("a", 9))
+		a.End(fleet.Failed)
+		s, _ := f.Get("a")
+		Expect(s.Flight).To(Equal(fleet.Flight{}))
+	})
+
+	It("counts what is in flight once, whatever comes twice", func() {
+		a := f.Begin("a", fleet.Flight{Tokens: 100, Unread: 60, Fetching: 40})
+		a.Heard()
+		a.Heard()
+		s, _ := f.Get("a")
+		Expect(s.Flight).To(Equal(fleet.Flight{Calls: 1, Tokens: 100}))
+		a.End(fleet.Served)
+		a.End(fleet.Failed)
+		s, _ = f.Get("a")
+		Expect(s.Flight).To(Equal(fleet.Flight{}))
+		Expect(s.Risk).To(BeZero())
+	})
+
+	It("adds what other hosts told, while that is fresh", func() {
+		f.Told("two", map[string]fleet.Flight{"a": {Calls: 3, Tokens: 30}})
+		f.Told("three", map[string]fleet.Flight{"a": {Calls: 1, Tokens: 5}})
+		s, _ := f.Get("a")
+		Expect(s.Others).To(Equal(fleet.Flight{Calls: 4, Tokens: 35}))
+		now += 3 * time.Second
+		s, _ = f.Get("a")
+		Expect(s.Others).To(Equal(fleet.Flight{}))
+	})
+
+	It("passes over a target that refuses connections, for a growing time", func() {
+		f.Begin("a", fleet.Flight{}).End(fleet.Unreachable)
+		s, _ := f.Get("a")
+		Expect(s.Down).To(BeTrue())
+		now += 300 * time.Millisecond
+		s, _ = f.Get("a")
+		Expect(s.Down).To(BeFalse())
+		f.Begin("a", fleet.Flight{}).End(fleet.Unreachable)
+		now += 300 * time.Millisecond
+		s, _ = f.Get("a")
+		Expect(s.Down).To(BeTrue())
+	})
+
+	// Guards against engines that are taken for old ones until the list, which
+	// lags, shows their new weights.
+	It("believes a reply about weights before the list shows them", func() {
+		f.Learn("a", "m", 2)
+		f.Put(target("a", 5))
+		s, _ := f.Get("a")
+		Expect(s.Versions["m"]).To(Equal(2))
+	})
+})
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,58 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/retry"
+)
+
+// Guards against hosts that together repeat more than the platform allows.
+var _ = Describe("Window", func() {
+	allow := retry.Allowance{Ratio: 0.2, Fixed: 52, Window: 10 * time.Second}
+
+	It("stays within the allowance in every window, for all hosts together", func() {
+		const hosts = 6
+		windows := make([]*retry.Window, hosts)
+		for i := range windows {
+			windows[i] = retry.NewWindow(allow)
+		}
+		type tick struct{ requests, repeats int }
+		var ticks []tick
+		for i := range 600 {
+			now := time.Minute + time.Duration(i)*100*time.Millisecond
+			t := tick{}
+			for _, w := range windows {
+				if i < 300 {
+					w.Request(now)
+					t.requests++
+				}
+				for range 5 {
+					if w.Repeat(now, hosts) {
+						t.repeats++
+					}
+				}
+			}
+			ticks = append(ticks, t)
+		}
+		for end := 100; end <= len(ticks); end++ {
+			requests, before, repeats := 0, 0, 0
+			for _, t := range ticks[end-100 : end] {
+				requests += t.requests
+				repeats += t.repeats
+			}
+			for _, t := range ticks[max(end-200, 0):max(end-100, 0)] {
+				before += t.requests
+			}
+			Expect(float64(repeats)).To(BeNumerically("<=", 0.2*float64(max(requests, before))+52))
+		}
+	})
+
+	It("lets a host repeat a little from its start", func() {
+		w := retry.NewWindow(allow)
+		Expect(w.Repeat(time.Second, 6)).To(BeTrue())
+		Expect(w.Left(time.Second, 6)).To(Equal(5))
+	})
+})
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -17,7 +17,7 @@
 	zoneFactor   = 2
 	regionFactor = 10
 	// readAgainMs is what reading a token again costs, and minFetchMs the time of a
-	// fetch that is always worth it.
+	// fetch that is always worth it while a store keeps its pace.
 	readAgainMs = 0.04
 	minFetchMs  = 15
 	// fetchSlack bounds a fetch in multiples of its expected time, fetchLeast from
@@ -62,7 +62,7 @@
 			continue
 		}
 		ms := c.partMs(s, part.Tokens, factor, now)
-		if !worth(part.Tokens, ms) {
+		if !worth(part.Tokens, ms, s.pace.at(now)) {
 			continue
 		}
 		stored += part.Tokens
@@ -78,8 +78,8 @@
 
 // worth reports whether a fetch is better than reading a part again, which costs
 // the engine's time and delays other requests there.
-func worth(tokens int, ms float64) bool {
-	return ms < float64(tokens)*readAgainMs+minFetchMs
+func worth(tokens int, ms, pace float64) bool {
+	return ms < float64(tokens)*readAgainMs+minFetchMs/pace
 }
 
 // FetchMs returns the time to fetch a number of tokens from a near store.
@@ -102,7 +102,7 @@
 	for i, part := range shared {
 		key := Key{scope, part.ID}
 		if s, factor := c.source(key, t.Zone, now); s != nil {
-			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took) {
+			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took, s.pace.at(now)) {
 				st.Fetch[i] = s.Address
 				fetches = true
 				ms += took
