--- a/cmd/sesamed/serve.go
+++ b/cmd/sesamed/serve.go
@@ -40,13 +40,15 @@
 		fmt.Fprintf(os.Stderr, "sesamed: the settings are faulty:\n%v\n", err)
 		return subcommands.ExitUsageError
 	}
-	log, sync, err := logs.New(os.Stdout, s.Level)
+	log, err := logs.New(os.Stdout, s.Level)
 	if err != nil {
 		return failed(err)
 	}
-	defer sync()
-	log = log.With(zap.String("host", s.Name))
-	h, err := front.New(s, platform.New(s.Platform), front.WithLog(log))
+	defer log.Flush()
+	h, err := front.New(
+		s, platform.New(s.Platform), front.WithLog(log.With(zap.String("host", s.Name))),
+		front.WithFile(c.settings, log.SetLevel),
+	)
 	if err != nil {
 		return failed(err)
 	}
--- a/internal/front/admin.go
+++ b/internal/front/admin.go
@@ -40,7 +40,7 @@
 
 func (h *Host) state() State {
 	s := State{
-		Settings: h.settings, Time: time.Now(), Ready: h.Ready(), Weights: h.operator.Models(),
+		Settings: h.current(), Time: time.Now(), Ready: h.Ready(), Weights: h.operator.Models(),
 		Targets: h.fleet.All(), Poison: h.poison.Stats(time.Now()),
 		Stores: h.stash.Stats(), Hosts: h.members.names(),
 	}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,7 +73,10 @@
 
 // Host is one entry host.
 type Host struct {
+	mu       sync.Mutex // settings
 	settings Settings
+	file     string
+	level    func(string) error
 	platform Platform
 	log      *zap.Logger
 	fleet    *fleet.Fleet
@@ -93,7 +97,7 @@
 	if err := s.Check(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	h := &Host{settings: s, platform: p, log: zap.NewNop()}
+	h := &Host{settings: s, platform: p, log: zap.NewNop(), level: func(string) error { return nil }}
 	for _, o := range opts {
 		o(h)
 	}
@@ -129,6 +133,7 @@
 	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readiness()) })
 	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.admin()) })
 	t.Add("peers", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Peer, h.peerHandler()) })
+	t.Add("reload", h.reload)
 	t.Add("idle", h.sweepIdle)
 	t.Add("stores", h.pollers.Run)
 	t.Add("members", h.members.Run)
@@ -146,8 +151,8 @@
 	defer stop()
 	h.leaving.Store(true)
 	h.gate.End()
-	h.log.Info("stopping", zap.Float64("grace", h.settings.Grace))
-	grace := time.Duration(h.settings.Grace * float64(time.Second))
+	grace := time.Duration(h.current().Grace * float64(time.Second))
+	h.log.Info("stopping", zap.Duration("grace", grace))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
 	if err := pause.For(ctx, min(balancerLag, grace/2)); err != nil {
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -75,11 +75,12 @@
 
 // outdated reports whether an engine's weights are too old to begin a request.
 func (g *Gate) outdated(j *job, s fleet.Status) bool {
-	if j.Prompt == nil || g.staleLimit <= 0 {
+	limit := time.Duration(g.staleLimit.Load())
+	if j.Prompt == nil || limit <= 0 {
 		return false
 	}
 	named, since := g.weights.Named(j.Prompt.Model)
-	return s.Versions[j.Prompt.Model] < named && since > g.staleLimit
+	return s.Versions[j.Prompt.Model] < named && since > limit
 }
 
 // work sums up a prompt. The subject is the last part that others share.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -42,7 +42,7 @@
 
 // WithStaleLimit sets how long after new weights were named a request may begin
 // on older ones.
-func WithStaleLimit(d time.Duration) Option { return func(g *Gate) { g.staleLimit = d } }
+func WithStaleLimit(d time.Duration) Option { return func(g *Gate) { g.SetStaleLimit(d) } }
 
 // WithWeights sets the source of named weight versions.
 func WithWeights(w Weights) Option { return func(g *Gate) { g.weights = w } }
@@ -61,7 +61,7 @@
 	costs     place.Weights
 	// staleLimit is the time from the naming of weights after which nothing is
 	// sent to engines with older ones.
-	staleLimit time.Duration
+	staleLimit atomic.Int64
 
 	site   atomic.Pointer[site.Site]
 	kept   http.RoundTripper
@@ -98,6 +98,19 @@
 // End makes the gate close each connection after its answer.
 func (g *Gate) End() { g.ending.Store(true) }
 
+// SetAllowance changes the bound on repeats of all hosts together.
+func (g *Gate) SetAllowance(a retry.Allowance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allowance = a
+	for _, w := range g.windows {
+		w.SetAllowance(a)
+	}
+}
+
+// SetStaleLimit changes how long requests may begin on older weights.
+func (g *Gate) SetStaleLimit(d time.Duration) { g.staleLimit.Store(int64(d)) }
+
 // SetSite puts a site in force. An older version is ignored.
 func (g *Gate) SetSite(s *site.Site) bool {
 	for {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -5,8 +5,8 @@
 //
 // # Usage
 //
-//	log, sync, err := logs.New(os.Stdout, "info")
-//	defer sync()
+//	log, err := logs.New(os.Stdout, "info")
+//	defer log.Flush()
 package logs
 
 import (
@@ -33,19 +33,33 @@
 	out     io.Writer
 }
 
-// New returns a logger of JSON lines and a function that waits for the lines
-// written so far, but not for long.
-func New(out io.Writer, level string) (*zap.Logger, func(), error) {
+// Log is a logger with its controls.
+type Log struct {
+	*zap.Logger
+	level zap.AtomicLevel
+	out   *writer
+}
+
+// SetLevel changes the level.
+func (l *Log) SetLevel(level string) error {
+	return errors.Trace(l.level.UnmarshalText([]byte(level)))
+}
+
+// Flush waits for the lines written so far, but not for long.
+func (l *Log) Flush() { l.out.wait() }
+
+// New returns a logger of JSON lines.
+func New(out io.Writer, level string) (*Log, error) {
 	l, err := zap.ParseAtomicLevel(level)
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	w := &writer{lines: make(chan []byte, maxLines), flush: make(chan chan struct{}), out: out}
 	go w.run()
 	e := zap.NewProductionEncoderConfig()
 	e.EncodeTime = zapcore.ISO8601TimeEncoder
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(e), w, l))
-	return log, w.wait, nil
+	return &Log{Logger: log, level: l, out: w}, nil
 }
 
 // Write queues a line or drops it.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -34,6 +34,17 @@
 // NewWindow returns an empty window.
 func NewWindow(a Allowance) *Window { return &Window{allow: a} }
 
+// SetAllowance changes the allowance. What was counted stays if the window is as
+// long as before.
+func (w *Window) SetAllowance(a Allowance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.Window != w.allow.Window {
+		w.requests, w.repeats, w.at = [windowParts]int{}, [windowParts]int{}, 0
+	}
+	w.allow = a
+}
+
 // Request counts a first arrival.
 func (w *Window) Request(now time.Duration) {
 	w.mu.Lock()
