--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -139,7 +139,7 @@
 	t.Add("members", h.members.Run)
 	t.Add("hail", hail.New(
 		h.settings.Peer, h.settings.Name, h.fleet, h.members.peers,
-		hail.WithLog(h.log), hail.WithChanged(h.gate.Kick), hail.WithWeights(h.operator),
+		hail.WithLog(h.log), hail.WithChanged(h.gate.Kick), hail.WithWeights(h),
 	).Run)
 	h.duty.add(t)
 	return errors.Trace(t.Run(parts))
@@ -216,5 +216,17 @@
 // has known it.
 func (h *Host) Named(model string) (int, time.Duration) { return h.operator.Named(model) }
 
+// Ages returns the named versions whose age this host knows.
+func (h *Host) Ages() map[string]hail.Named { return h.operator.Ages() }
+
+// Heard takes over what another host knows about named weights.
+func (h *Host) Heard(model string, n hail.Named) { h.operator.Heard(model, n) }
+
+// Progress returns the progress of this host's orders; nil if it gives none.
+func (h *Host) Progress() *roll.Progress { return h.duty.roller.Progress() }
+
+// Learn takes over the progress of the host that gives orders.
+func (h *Host) Learn(p roll.Progress) { h.duty.learn(p) }
+
 // Loading reports whether a target is about to change its weights.
 func (h *Host) Loading(target string) bool { return h.duty.loading(target) }
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -22,6 +22,7 @@
 
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/roll"
 )
 
 const (
@@ -43,6 +44,8 @@
 	Flights map[string]fleet.Flight `cbor:"2,keyasint,omitempty"`
 	// Named are the weights that the host knows to be named, by model.
 	Named map[string]Named `cbor:"3,keyasint,omitempty"`
+	// Progress is that of the host that gives orders.
+	Progress *roll.Progress `cbor:"4,keyasint,omitempty"`
 }
 
 // Named is a weight version and how long ago it was named, in milliseconds.
@@ -53,6 +56,10 @@
 
 // Weights is what a host knows about named weights.
 type Weights interface {
+	// Progress returns the progress of this host's orders; nil if it gives none.
+	Progress() *roll.Progress
+	// Learn takes over the progress of another host.
+	Learn(p roll.Progress)
 	// Ages returns the versions whose age the host knows.
 	Ages() map[string]Named
 	// Heard takes over what another host knows.
@@ -125,7 +132,7 @@
 		}
 		m := Message{Host: h.host, Flights: h.fleet.Flights()}
 		if h.weights != nil {
-			m.Named = h.weights.Ages()
+			m.Named, m.Progress = h.weights.Ages(), h.weights.Progress()
 		}
 		b, err := cbor.Marshal(m)
 		if err != nil || len(b) > maxDatagram {
@@ -147,6 +154,9 @@
 	if h.weights == nil {
 		return
 	}
+	if m.Progress != nil {
+		h.weights.Learn(*m.Progress)
+	}
 	for model, n := range m.Named {
 		h.weights.Heard(model, n)
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -64,6 +64,9 @@
 	// costs.
 	CallMs  float64
 	PlainMs float64
+	// DelayMs is the harm of a thousand tokens to be read to each call in flight,
+	// whose events pause meanwhile.
+	DelayMs float64
 	HomeMs  float64
 	// RiskMs is the cost of a certain failure, DownMs that of a target which
 	// refused connections, StaleMs that of older weights.
@@ -84,9 +87,9 @@
 func Defaults() Weights {
 	return Weights{
 		WayMs: [3]float64{1, 4, 42}, ReadMs: 1.0 / 64, AgainMs: 1.0 / 30,
-		CallMs: 3, PlainMs: 8, HomeMs: 60,
+		CallMs: 3, PlainMs: 8, DelayMs: 1, HomeMs: 60,
 		RiskMs: 1500, DownMs: 20000, StaleMs: 120,
-		UnreadLimit: 32000, RoomShare: 0.95, SlotsOver: 3,
+		UnreadLimit: 12000, RoomShare: 0.95, SlotsOver: 3,
 	}
 }
 
@@ -112,6 +115,7 @@
 	return pick(cs, func(i int, c Candidate) (float64, bool) {
 		missing := w.missing(c)
 		cost := k.base(c) + k.CallMs*float64(c.Calls) + float64(c.Unread)*k.ReadMs + c.FetchingMs + k.prompt(w, c)
+		cost += k.DelayMs * float64(c.Calls) * float64(missing) / 1000
 		if i != home {
 			cost += k.HomeMs
 		}
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -52,9 +52,9 @@
 // Progress is the state of the engines that the holder orders.
 type Progress struct {
 	// Loading are the engines to which nothing should be sent.
-	Loading []string `json:"loading"`
+	Loading []string `json:"loading" cbor:"1,keyasint,omitempty"`
 	// Loaded maps engines to their weights by model.
-	Loaded map[string]map[string]int `json:"loaded"`
+	Loaded map[string]map[string]int `json:"loaded" cbor:"2,keyasint,omitempty"`
 }
 
 // Option changes a default of New.
@@ -281,7 +281,7 @@
 	}
 }
 
-// progress returns what the other hosts should learn; false if that is nothing.
+// progress returns what the platform should learn; false if that is nothing.
 func (r *Roller) progress(now time.Duration) (Progress, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -289,6 +289,22 @@
 		return Progress{}, false
 	}
 	r.dirty, r.told = false, now
+	return r.state(now), true
+}
+
+// Progress returns the progress of this host's orders; nil if it gives none.
+func (r *Roller) Progress() *Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.loading) == 0 && len(r.loaded) == 0 {
+		return nil
+	}
+	p := r.state(wire.Boot())
+	return &p
+}
+
+// state returns which engines load and which have loaded lately.
+func (r *Roller) state(now time.Duration) Progress {
 	p := Progress{Loaded: make(map[string]map[string]int, len(r.loaded))}
 	for id := range r.loading {
 		p.Loading = append(p.Loading, id)
@@ -300,7 +316,7 @@
 		}
 		p.Loaded[id] = l.versions
 	}
-	return p, true
+	return p
 }
 
 // Loading reports whether this host is about to order an engine.
