--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -117,7 +117,7 @@
 			break
 		}
 	}
-	return nil
+	return nil //nolint:nilerr // the end of ctx is the normal end
 }
 
 func (w *Watch) step(ctx context.Context) error {
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -94,7 +94,7 @@
 		d.lease.Run(turn)
 		stop()
 	}
-	return nil
+	return nil //nolint:nilerr // the end of ctx is the normal end
 }
 
 // engines returns all engines that the site describes.
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -79,7 +79,7 @@
 			period = maxMemberPeriod
 		}
 		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
-			return nil
+			return nil //nolint:nilerr // the end of ctx is the normal end
 		}
 	}
 }
--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -64,7 +64,7 @@
 		p.learn(ctx, hubs)
 	}
 	p.group.Wait()
-	return nil
+	return nil //nolint:nilerr // the end of ctx is the normal end
 }
 
 // choose returns the hosts to learn from; none if this host asks the stores.
--- a/internal/gate/handle.go
+++ b/internal/gate/handle.go
@@ -23,11 +23,8 @@
 	answerMargin = 20 * time.Millisecond
 )
 
-// errTimeout and errDeadline end the context of a request.
-var (
-	errTimeout  = errors.New("the route's timeout has passed")
-	errDeadline = errors.New("the caller's deadline has passed")
-)
+// errTimeout ends the context of a request.
+var errTimeout = errors.New("the time of the request has passed")
 
 // job is a request on its way.
 type job struct {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -176,7 +175,7 @@
 	case len(body) > maxAnswer:
 		return g.repeat(j, "the answer is too long"), fleet.Failed
 	}
-	g.Metrics.Time("answer", time.Duration(wire.Boot()-j.Arrived))
+	g.Metrics.Time("answer", wire.Boot()-j.Arrived)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	g.head(j, r)
 	if _, err := j.w.Write(body); err != nil {
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -170,7 +170,7 @@
 	for {
 		n, _, err := conn.ReadFrom(buf)
 		if ctx.Err() != nil {
-			return nil
+			return nil //nolint:nilerr // the end of ctx is the normal end
 		}
 		if err != nil {
 			return errors.Trace(err)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pelletier/go-toml/v2"
-	"os"
 
 	"sesamehill.example/sesamehill/internal/place"
 )
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -25,10 +25,8 @@
 	// loadLimit bounds the wait for an engine that has accepted an order; its runs
 	// end first.
 	loadLimit = 10 * time.Second
-	// tellPeriod is the time between two publications while engines load;
-	// LoadingMemory is how long one of them is believed.
-	tellPeriod    = time.Second
-	LoadingMemory = 2500 * time.Millisecond
+	// tellPeriod is the time between two publications while engines load.
+	tellPeriod = time.Second
 	// loadedMemory is how long the list of targets may take to show new weights.
 	loadedMemory = 8 * time.Second
 	// doubtLimit is how far a report may lag behind an order.
@@ -37,6 +35,9 @@
 	againAfter = 400 * time.Millisecond
 )
 
+// LoadingMemory is how long a publication is believed.
+const LoadingMemory = 2500 * time.Millisecond
+
 // Fence tells whether the host may give orders right now.
 type Fence interface {
 	Fence() (uint64, error)
--- a/internal/stash/poll.go
+++ b/internal/stash/poll.go
@@ -57,7 +57,7 @@
 			break
 		}
 	}
-	return nil
+	return nil //nolint:nilerr // the end of ctx is the normal end
 }
 
 func (p *Poller) note(err error) {
