--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,7 +124,8 @@
 	learnedAt time.Duration
 	// lapsed is the time at which a held entry is dropped; zero if it is listed.
 	lapsed time.Duration
-	seen   time.Duration
+	// told is the sum of what the other hosts told.
+	told Flight
 }
 
 // Option changes a default of New.
@@ -152,6 +153,7 @@
 	services map[string][]*state
 	// others holds the flights that other hosts told, by host.
 	others map[string]told
+	swept  time.Duration
 	// graceEnd is the end of the time in which lapsed entries may return.
 	graceEnd time.Duration
 }
@@ -256,6 +258,7 @@
 	if !ok {
 		return Status{}, false
 	}
+	f.forgetOld(f.now())
 	return f.status(s, f.now()), true
 }
 
@@ -284,13 +287,13 @@
 	old, ok := f.targets[t.ID]
 	switch {
 	case !ok:
-		f.targets[t.ID] = &state{Target: t, seen: f.now()}
+		f.replace(t)
 		f.changed(Change{Target: t, What: "listed"})
 		return
 	case t.Born < old.Born:
 		return
 	case t.Born > old.Born || t.Address != old.Address:
-		f.targets[t.ID] = &state{Target: t, seen: f.now()}
+		f.replace(t)
 		f.changed(Change{Target: t, What: "restarted"})
 		return
 	}
@@ -370,6 +373,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.expire(now)
+	f.forgetOld(now)
 	list := f.services[service]
 	out := make([]Status, 0, len(list))
 	for _, s := range list {
@@ -386,6 +390,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.expire(now)
+	f.forgetOld(now)
 	out := make([]Status, 0, len(f.targets))
 	for _, s := range f.targets {
 		out = append(out, f.status(s, now))
@@ -428,26 +433,56 @@
 // otherFlight returns what the other hosts have in flight at a target: what they
 // told, or what its load reports suggest if none of them was heard.
 func (f *Fleet) otherFlight(s *state, now time.Duration) Flight {
-	var sum Flight
-	heard := false
-	for _, t := range f.others {
-		if now-t.at > toldMemory {
-			continue
-		}
-		heard = true
-		sum = sum.Add(t.flights[s.ID])
-	}
-	if !heard {
-		sum.Calls = int(math.Round(s.otherCalls(now)))
+	if len(f.others) > 0 {
+		return s.told
 	}
-	return sum
+	return Flight{Calls: int(math.Round(s.otherCalls(now)))}
 }
 
 // Told notes what another host has in flight.
 func (f *Fleet) Told(host string, flights map[string]Flight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.forget(host)
 	f.others[host] = told{at: f.now(), flights: flights}
+	for id, flight := range flights {
+		if s, ok := f.targets[id]; ok {
+			s.told = s.told.Add(flight)
+		}
+	}
+}
+
+// forget drops what another host told.
+func (f *Fleet) forget(host string) {
+	for id, flight := range f.others[host].flights {
+		if s, ok := f.targets[id]; ok {
+			s.told = s.told.Sub(flight)
+		}
+	}
+	delete(f.others, host)
+}
+
+// forgetOld drops what was told too long ago.
+func (f *Fleet) forgetOld(now time.Duration) {
+	if now-f.swept < toldMemory/8 {
+		return
+	}
+	f.swept = now
+	for host, t := range f.others {
+		if now-t.at > toldMemory {
+			f.forget(host)
+		}
+	}
+}
+
+// replace sets the state of a target that is new or has restarted. What other
+// hosts told counts for it too, until they tell again.
+func (f *Fleet) replace(t Target) {
+	s := &state{Target: t}
+	for _, o := range f.others {
+		s.told = s.told.Add(o.flights[t.ID])
+	}
+	f.targets[t.ID] = s
 }
 
 // Flights returns what this host has in flight.
@@ -498,6 +533,9 @@
 }
 
 func (s *state) riskNow(now time.Duration) float64 {
+	if s.risk == 0 {
+		return 0
+	}
 	return s.risk * math.Exp2(-float64(now-s.riskAt)/float64(riskHalf))
 }
 
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -53,7 +53,7 @@
 	return place.Prompt(work(j.Prompt), cs, g.costs)
 }
 
-func (g *Gate) candidate(j *job, s fleet.Status) place.Candidate {
+func (g *Gate) candidate(j *job, s fleet.Status, look map[string]Holdings) place.Candidate {
 	all := s.Flight.Add(s.Others)
 	c := place.Candidate{
 		ID: s.ID, Distance: g.distance(s.Zone), Calls: all.Calls, Slots: s.Slots, Tokens: all.Tokens,
@@ -66,7 +66,12 @@
 	named, since := g.weights.Named(j.Prompt.Model)
 	c.Stale = version < named && since > staleGrace
 	scope := g.keeper.Scope(j.Prompt.Model, version, j.account)
-	c.Resident, c.Stored, c.FetchMs = g.keeper.Weigh(j.Prompt, scope, s.Target)
+	known, ok := look[scope]
+	if !ok {
+		known = g.keeper.Look(j.Prompt, scope)
+		look[scope] = known
+	}
+	c.Resident, c.Stored, c.FetchMs = known.Weigh(s.Target)
 	if e := j.service.Engine; e != nil {
 		c.Room = e.Tokens
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -142,11 +142,12 @@
 
 type noKeeper struct{}
 
-func (noKeeper) Weigh(*Prompt, string, fleet.Target) (int, int, float64) { return 0, 0, 0 }
-func (noKeeper) Fetched([]string, float64, time.Duration)                {}
-func (noKeeper) FetchMs(int) float64                                     { return 0 }
-func (noKeeper) Plan(*Prompt, string, int, fleet.Target) *State          { return nil }
-func (noKeeper) Scope(string, int, *site.Account) string                 { return "" }
+func (noKeeper) Look(*Prompt, string) Holdings                  { return noKeeper{} }
+func (noKeeper) Weigh(fleet.Target) (int, int, float64)         { return 0, 0, 0 }
+func (noKeeper) Fetched([]string, float64, time.Duration)       {}
+func (noKeeper) FetchMs(int) float64                            { return 0 }
+func (noKeeper) Plan(*Prompt, string, int, fleet.Target) *State { return nil }
+func (noKeeper) Scope(string, int, *site.Account) string        { return "" }
 
 type noWeights struct{}
 
--- a/internal/gate/types.go
+++ b/internal/gate/types.go
@@ -112,9 +112,8 @@
 
 // Keeper decides how an attempt uses kept prompt state.
 type Keeper interface {
-	// Weigh returns how many of the shared tokens the target is expected to hold,
-	// how many a fetch brings, and how long the fetch takes in milliseconds.
-	Weigh(p *Prompt, scope string, t fleet.Target) (resident, stored int, fetchMs float64)
+	// Look returns what is known about the shared parts of a prompt.
+	Look(p *Prompt, scope string) Holdings
 	// FetchMs returns the time to fetch a number of tokens from a near store.
 	FetchMs(tokens int) float64
 	// Fetched notes the time to the first event after a fetch from addresses.
@@ -125,6 +124,13 @@
 	Scope(model string, version int, account *site.Account) string
 }
 
+// Holdings is what is known about the shared parts of one prompt.
+type Holdings interface {
+	// Weigh returns how many of the shared tokens a target is expected to hold, how
+	// many a fetch brings, and how long the fetch takes in milliseconds.
+	Weigh(t fleet.Target) (resident, stored int, fetchMs float64)
+}
+
 // Weights tells which weight version of a model was named last; zero if none.
 type Weights interface {
 	// Named also returns how long ago that was.
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -172,9 +172,10 @@
 			open = append(open, s)
 		}
 	}
+	look := map[string]Holdings{}
 	cs := make([]place.Candidate, len(open))
 	for i, s := range open {
-		cs[i] = g.candidate(j, s)
+		cs[i] = g.candidate(j, s, look)
 	}
 	switch best := g.best(j, cs).(type) {
 	case place.At:
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -2,8 +2,7 @@
 
 import (
 	"math"
-
-	"github.com/zeebo/blake3"
+	"math/bits"
 )
 
 // Distance is how far a target is from the host.
@@ -186,18 +185,27 @@
 	return best
 }
 
-// Score is the rendezvous score of a key at a member.
+// Score is the rendezvous score of a key at a member. It is the same on every
+// host.
 func Score(key, member string) uint64 {
-	var buf [96]byte
-	b := append(buf[:0], key...)
-	b = append(b, 0)
-	b = append(b, member...)
-	sum := blake3.Sum256(b)
-	var s uint64
-	for _, x := range sum[:8] {
-		s = s<<8 | uint64(x)
+	return mix(sum(key) ^ bits.RotateLeft64(sum(member), 32))
+}
+
+// sum is the FNV-1a hash of a text; hash/fnv would allocate for each.
+func sum(text string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * prime
 	}
-	return s
+	return h
+}
+
+// mix spreads a change of any bit over all bits, as splitmix64 does.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // Weighted turns a rendezvous score into one that wins as often as the weight of
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -40,32 +40,57 @@
 	return scope
 }
 
+// holdings is what a catalog knows about the shared parts of one prompt.
+type holdings struct {
+	catalog *Catalog
+	scope   string
+	subject string
+	tokens  int
+	parts   []holding
+	now     time.Duration
+}
+
+// holding is a part and the stores that certainly hold it.
+type holding struct {
+	tokens int
+	stores []*store
+}
+
+// Look returns what is known about the shared parts of a prompt.
+func (c *Catalog) Look(p *gate.Prompt, scope string) gate.Holdings {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := &holdings{catalog: c, scope: scope, now: c.now()}
+	for _, part := range p.Shared() {
+		h.subject = part.ID
+		h.tokens += part.Tokens
+		h.parts = append(h.parts, holding{tokens: part.Tokens, stores: c.holders(Key{scope, part.ID}, h.now)})
+	}
+	return h
+}
+
 // Weigh returns the shared tokens that a target probably holds, those that a
 // fetch brings, and the milliseconds of that fetch.
-func (c *Catalog) Weigh(p *gate.Prompt, scope string, t fleet.Target) (resident, stored int, fetchMs float64) {
+func (h *holdings) Weigh(t fleet.Target) (resident, stored int, fetchMs float64) {
+	if len(h.parts) == 0 {
+		return 0, 0, 0
+	}
+	c := h.catalog
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
-	shared := p.Shared()
-	if len(shared) == 0 {
-		return 0, 0, 0
+	if sent, ok := c.sends.Peek(sendKey{t.ID, h.scope, h.subject}); ok && h.now-sent < residentMemory {
+		resident = h.tokens
 	}
-	last := shared[len(shared)-1]
-	sent, ok := c.sends.Peek(sendKey{t.ID, scope, last.ID})
-	warm := ok && now-sent < residentMemory
-	for _, part := range shared {
-		if warm {
-			resident += part.Tokens
-		}
-		s, factor := c.source(Key{scope, part.ID}, t.Zone, now)
+	for _, part := range h.parts {
+		s, factor := c.nearest(part.stores, t.Zone)
 		if s == nil {
 			continue
 		}
-		ms := c.partMs(s, part.Tokens, factor, now)
-		if !worth(part.Tokens, ms, s.pace.at(now)) {
+		ms := c.partMs(s, part.tokens, factor, h.now)
+		if !worth(part.tokens, ms, s.pace.at(h.now)) {
 			continue
 		}
-		stored += part.Tokens
+		stored += part.tokens
 		fetchMs += ms
 	}
 	return resident, stored, fetchMs
@@ -101,7 +126,7 @@
 	fetches, ms := false, 0.0
 	for i, part := range shared {
 		key := Key{scope, part.ID}
-		if s, factor := c.source(key, t.Zone, now); s != nil {
+		if s, factor := c.nearest(c.holders(key, now), t.Zone); s != nil {
 			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took, s.pace.at(now)) {
 				st.Fetch[i] = s.Address
 				fetches = true
@@ -128,18 +153,25 @@
 	return st
 }
 
-// source returns the nearest store that certainly holds a part, and the factor
-// of the transfer's time.
-func (c *Catalog) source(k Key, zone string, now time.Duration) (*store, float64) {
-	var best *store
-	least := 0.0
+// holders returns the stores that certainly hold a part.
+func (c *Catalog) holders(k Key, now time.Duration) []*store {
+	var out []*store
 	for _, s := range c.order {
 		if s.heard == 0 || now-s.heard > belief {
 			continue
 		}
-		if _, ok := s.held[k]; !ok {
-			continue
+		if _, ok := s.held[k]; ok {
+			out = append(out, s)
 		}
+	}
+	return out
+}
+
+// nearest returns the nearest of some stores and the factor of a transfer's time.
+func (c *Catalog) nearest(stores []*store, zone string) (*store, float64) {
+	var best *store
+	least := 0.0
+	for _, s := range stores {
 		if f := c.factor(s.Zone, zone); best == nil || f < least {
 			best, least = s, f
 		}
--- a/internal/stash/stash_test.go
+++ b/internal/stash/stash_test.go
@@ -113,7 +113,7 @@
 			c.Fetched([]string{near}, 8, 1500*time.Millisecond)
 		}
 		Expect(c.Plan(prompt, scope, 1, engine).Fetch).To(Equal([]string{"", "", ""}))
-		_, stored, _ := c.Weigh(prompt, scope, engine)
+		_, stored, _ := c.Look(prompt, scope).Weigh(engine)
 		Expect(stored).To(BeZero())
 		now += 20 * time.Second
 		listed(c, 1, "aa", "bb")
