--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -115,7 +115,7 @@
 	}
 	if c.state != nil {
 		fields = append(
-			fields, zap.Int("weights", c.state.Version), zap.Int("resident", k.Resident),
+			fields, zap.String("subject", work(j.Prompt).Subject), zap.Int("shared", work(j.Prompt).Shared), zap.Int("weights", c.state.Version), zap.Int("resident", k.Resident),
 			zap.Int("stored", k.Stored), zap.Strings("fetch", c.state.Fetch), zap.Strings("save", c.state.Save),
 		)
 	}
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -316,7 +316,7 @@
 	defer c.mu.Unlock()
 	out := make([]Stat, 0, len(c.order))
 	for _, s := range c.order {
-		st := Stat{Name: s.name, Epoch: s.epoch, Parts: len(s.held), Used: s.used, Tokens: s.Tokens, Pace: s.pace.at(c.now()), Age: -1}
+		st := Stat{Name: s.name, Epoch: s.epoch, Parts: len(s.held), Used: s.used, Tokens: s.Tokens, Pace: c.paceOf(s, c.now()), Age: -1}
 		if s.heard != 0 {
 			st.Age = (c.now() - s.heard).Milliseconds()
 		}
--- a/internal/stash/pace.go
+++ b/internal/stash/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	paceStep = 0.25
 	paceHalf = 1500 * time.Millisecond
 	maxPace  = 12
+	// minStores is the number of stores from which on they are compared.
+	minStores = 3
 	// restMs is the usual time to a first event besides the fetch, for a request
 	// that finds its engine at work.
 	restMs = 150
@@ -32,20 +35,35 @@
 	p.excess, p.noted = old+paceStep*(excess-old), now
 }
 
-// Fetched notes the time to the first event of a request that fetched parts.
+// Fetched notes the time to the first event of a request that fetched parts. The
+// largest fetch counts for the store that it came from.
 func (c *Catalog) Fetched(addresses []string, expectedMs float64, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	seen := map[string]bool{}
-	for _, a := range addresses {
-		s, ok := c.stores[a]
-		if !ok || seen[a] || expectedMs <= 0 {
+	for i := len(addresses) - 1; i >= 0; i-- {
+		s, ok := c.stores[addresses[i]]
+		if !ok || expectedMs <= 0 {
 			continue
 		}
-		seen[a] = true
-		base := expectedMs / s.pace.at(now)
+		base := expectedMs / c.paceOf(s, now)
 		spent := float64(took)/float64(time.Millisecond) - restMs
 		s.pace.note(spent/(base+restMs/3), now)
+		return
 	}
 }
+
+// paceOf returns how much longer than expected fetches from a store take, beyond
+// what they take from most stores: that part is the engines' own delay.
+func (c *Catalog) paceOf(s *store, now time.Duration) float64 {
+	all := make([]float64, 0, len(c.order))
+	for _, other := range c.order {
+		all = append(all, other.pace.at(now))
+	}
+	if len(all) < minStores {
+		return s.pace.at(now)
+	}
+	slices.Sort(all)
+	usual := all[(len(all)-1)/2]
+	return max(s.pace.at(now)-usual, 0) + 1
+}
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		ms := c.partMs(s, part.tokens, factor, h.now)
-		if !worth(part.tokens, ms, s.pace.at(h.now)) {
+		if !worth(part.tokens, ms, c.paceOf(s, h.now)) {
 			continue
 		}
 		stored += part.tokens
@@ -98,7 +98,7 @@
 
 // partMs is the expected time to fetch a part from a store.
 func (c *Catalog) partMs(s *store, tokens int, factor float64, now time.Duration) float64 {
-	return (float64(tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)) * s.pace.at(now)
+	return (float64(tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)) * c.paceOf(s, now)
 }
 
 // worth reports whether a fetch is better than reading a part again, which costs
@@ -127,7 +127,7 @@
 	for i, part := range shared {
 		key := Key{scope, part.ID}
 		if s, factor := c.nearest(c.holders(key, now), t.Zone); s != nil {
-			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took, s.pace.at(now)) {
+			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took, c.paceOf(s, now)) {
 				st.Fetch[i] = s.Address
 				fetches = true
 				ms += took
@@ -188,7 +188,7 @@
 		if at, ok := s.saving[k]; ok && now-at < saveMemory {
 			return nil
 		}
-		if s.pace.at(now) > slowPace {
+		if c.paceOf(s, now) > slowPace {
 			continue
 		}
 		if s.heard == 0 || now-s.heard > belief || now < s.open || c.regions[s.Zone] != c.regions[zone] {
