--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -54,9 +54,12 @@
 	table  Table
 	writes uint64
 
-	mu    sync.Mutex
-	seen  map[string]sighting
-	known bool
+	mu   sync.Mutex
+	seen map[string]sighting
+	// heard is the boot time of the last read; zero before the first. Hosts are not
+	// missed while nothing can be read: a host that took itself for alone would
+	// claim every budget.
+	heard time.Duration
 }
 
 type sighting struct {
@@ -120,7 +123,7 @@
 		m.note(row, r.Version, now)
 	}
 	m.mu.Lock()
-	m.known = true
+	m.heard = now
 	m.mu.Unlock()
 }
 
@@ -144,10 +147,10 @@
 func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.known {
+	if m.heard == 0 {
 		return assumedHosts
 	}
-	return max(len(m.live(wire.Boot())), minHosts)
+	return max(len(m.live()), minHosts)
 }
 
 // peers returns the addresses of the other hosts, those of this region and the
@@ -155,9 +158,8 @@
 func (m *members) peers() (near, far []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := wire.Boot()
 	for name, s := range m.seen {
-		if now-s.at >= memberMemory || name == m.host.settings.Name || s.Peer == "" {
+		if m.gone(s) || name == m.host.settings.Name || s.Peer == "" {
 			continue
 		}
 		if m.host.settings.Zones[s.Zone] == m.host.settings.Region {
@@ -174,13 +176,12 @@
 func (m *members) hubs() (addresses []string, self bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := wire.Boot()
-	if len(m.live(now)) <= directHosts {
+	if len(m.live()) <= directHosts {
 		return nil, true
 	}
 	var ranked []sighting
 	for _, s := range m.seen {
-		if now-s.at < memberMemory && m.host.settings.Zones[s.Zone] == m.host.settings.Region {
+		if !m.gone(s) && m.host.settings.Zones[s.Zone] == m.host.settings.Region {
 			ranked = append(ranked, s)
 		}
 	}
@@ -201,7 +202,7 @@
 func (m *members) contends() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := m.live(wire.Boot())
+	names := m.live()
 	if len(names) <= contenders || !slices.Contains(names, m.host.settings.Name) {
 		return true
 	}
@@ -215,16 +216,20 @@
 func (m *members) names() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live(wire.Boot())
+	return m.live()
 }
 
-func (m *members) live(now time.Duration) []string {
+func (m *members) live() []string {
 	var names []string
 	for name, s := range m.seen {
-		if now-s.at < memberMemory {
+		if !m.gone(s) {
 			names = append(names, name)
 		}
 	}
 	slices.Sort(names)
 	return names
 }
+
+// gone reports whether a host's row had not changed for long when the rows were
+// read last.
+func (m *members) gone(s sighting) bool { return m.heard-s.at >= memberMemory }
--- /dev/null
+++ b/internal/front/members_test.go
@@ -0,0 +1,110 @@
+package front
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "front")
+}
+
+var _ = Describe("members", func() {
+	var m *members
+	see := func(at time.Duration, names ...string) {
+		for _, n := range names {
+			m.seen[n] = sighting{member: member{Host: n, Zone: "sul-a", Peer: n + ":1"}, at: at}
+		}
+	}
+	BeforeEach(func() {
+		h := &Host{settings: Settings{Name: "a", Zone: "sul-a", Region: "sul", Zones: map[string]string{"sul-a": "sul"}}}
+		m = &members{host: h, seen: map[string]sighting{}}
+	})
+
+	// Guards against hosts that are cut off from the platform's store and each claim
+	// the whole of a budget that all hosts share.
+	It("misses no host while the rows cannot be read", func() {
+		see(time.Minute, "a", "b", "c", "d")
+		m.heard = time.Minute + time.Second
+		Expect(m.count()).To(Equal(4))
+	})
+
+	It("misses a host whose row does not change although the rows are read", func() {
+		see(time.Minute, "b", "c")
+		see(2*time.Minute, "a", "d", "e")
+		m.heard = 2 * time.Minute
+		Expect(m.count()).To(Equal(3))
+	})
+
+	It("assumes several hosts before the first read", func() {
+		Expect(m.count()).To(Equal(assumedHosts))
+	})
+
+	// Guards against stores and the lease row that every host of many asks.
+	It("names few hosts that ask the stores and contend for the lease", func() {
+		see(time.Minute, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+		m.heard = time.Minute
+		direct, contending := 0, 0
+		for name := range m.seen {
+			m.host.settings.Name = name
+			if _, self := m.hubs(); self {
+				direct++
+			}
+			if m.contends() {
+				contending++
+			}
+		}
+		Expect(direct).To(Equal(hubs))
+		Expect(contending).To(Equal(contenders))
+	})
+})
+
+// Guards against settings that start a host in a state nobody asked for.
+var _ = Describe("ParseSettings", func() {
+	const good = `name = "a"
+zone = "sul-a"
+region = "sul"
+platform = "10.0.0.1:80"
+front = "10.0.0.2:80"
+ready = "10.0.0.2:81"
+peer = "10.0.0.2:82"
+admin = "10.0.0.2:83"
+level = "info"
+grace = 8
+lease = 3000
+ratio = 0.2
+slack = 52
+window = 10
+[zones]
+sul-a = "sul"
+`
+	It("takes complete settings", func() {
+		s, err := ParseSettings([]byte(good))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.allowance().Window).To(Equal(10 * time.Second))
+	})
+	DescribeTable("names what is wrong",
+		func(old, replacement, want string) {
+			text := []byte(good)
+			if old == "" {
+				text = append([]byte(replacement), text...)
+			} else {
+				text = []byte(strings.Replace(good, old, replacement, 1))
+			}
+			_, err := ParseSettings(text)
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry("an unknown field", "", "surprise = 1\n", "surprise"),
+		Entry("a zone that is not listed", `zone = "sul-a"`, `zone = "x"`, "zone"),
+		Entry("an address without a port", `front = "10.0.0.2:80"`, `front = "10.0.0.2"`, "front"),
+		Entry("an unknown level", `level = "info"`, `level = "loud"`, "level"),
+		Entry("no window", "window = 10", "window = 0", "window"),
+		Entry("no grace", "grace = 8", "grace = 0", "grace"),
+		Entry("a value that is missing", `name = "a"`, `name = null`, "cannot be decoded"),
+	)
+})
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -161,10 +161,12 @@
 // answer decides about the head of an answer and relays it.
 func (g *Gate) answer(ctx context.Context, j *job, c choice, r Reply, resp *http.Response) (ending, fleet.Outcome) {
 	switch {
+	case r.Replaced:
+		return again{reason: "another target has the address"}, fleet.Unreachable
 	case r.NotRun:
 		reason := "the target did not run it"
 		if r.Elsewhere {
-			reason = "another target or other weights are there"
+			reason = "other weights are there"
 		}
 		return again{reason: reason}, fleet.Refused
 	case !r.Own:
--- a/internal/gate/handle.go
+++ b/internal/gate/handle.go
@@ -19,6 +19,9 @@
 	// defaultWait bounds a request whose caller states no deadline on a route
 	// without a timeout.
 	defaultWait = 30 * time.Second
+	// maxArrivals bounds the targets that one request reaches, run or not; a host
+	// whose beliefs are old would otherwise ask every target.
+	maxArrivals = 4
 	// answerMargin is kept back from a request's time for its way to the caller.
 	answerMargin = 20 * time.Millisecond
 )
@@ -161,6 +164,10 @@
 		return
 	}
 	for {
+		if j.arrivals >= maxArrivals {
+			g.exhausted(j, "too many targets did not run it")
+			return
+		}
 		if j.arrivals > 0 && !g.window(j.service.Name).Repeat(wire.Boot(), g.hosts()) {
 			g.exhausted(j, "the share of repeats is used up")
 			return
--- a/internal/gate/types.go
+++ b/internal/gate/types.go
@@ -93,6 +93,8 @@
 	// form that was asked for.
 	Sealed  bool
 	Encoded bool
+	// Replaced tells that another target, or another start of it, has the address.
+	Replaced bool
 	// Elsewhere tells that another target, or another start, has the address or
 	// that the weights differ.
 	Elsewhere bool
