--- a/internal/front/beliefs.go
+++ b/internal/front/beliefs.go
@@ -33,8 +33,9 @@
 	known  atomic.Bool
 	onSite func(*site.Site)
 
-	mu    sync.Mutex
-	named map[string]named
+	mu sync.Mutex
+	// named holds the newest versions of each model, the newest last.
+	named map[string][]named
 }
 
 // named is a weight version and when this host learned of it.
@@ -46,6 +47,9 @@
 	dated bool
 }
 
+// maxNamed bounds the versions of a model that are remembered.
+const maxNamed = 16
+
 // undatedAge is the age of weights that were named before the host started, as
 // long as no other host tells it: they may be long overdue.
 const undatedAge = time.Hour
@@ -89,11 +93,18 @@
 func (o *operator) name(model string, n named) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	old := o.named[model]
-	if old.version > n.version || old.version == n.version && (old.dated || !n.dated) {
-		return
+	history := o.named[model]
+	if len(history) > 0 {
+		newest := history[len(history)-1]
+		switch {
+		case newest.version > n.version, newest.version == n.version && (newest.dated || !n.dated):
+			return
+		case newest.version == n.version:
+			history = history[:len(history)-1]
+		}
 	}
-	o.named[model] = n
+	history = append(history, n)
+	o.named[model] = history[max(len(history)-maxNamed, 0):]
 	o.log.Info(
 		"weights named", zap.String("model", model), zap.Int("version", n.version), zap.Bool("dated", n.dated),
 		zap.Int64("age", (wire.Boot()-n.at).Milliseconds()),
@@ -106,8 +117,8 @@
 	defer o.mu.Unlock()
 	now := wire.Boot()
 	out := make(map[string]hail.Named, len(o.named))
-	for model, n := range o.named {
-		if n.dated {
+	for model, history := range o.named {
+		if n := history[len(history)-1]; n.dated {
 			out[model] = hail.Named{Version: n.version, Age: (now - n.at).Milliseconds()}
 		}
 	}
@@ -127,16 +138,21 @@
 	o.log.Info("dependency regained", zap.String("table", "operator"), zap.Duration("after", after))
 }
 
-// Named returns the newest weight version of a model and how long this host has
-// known it; zero if none was named.
-func (o *operator) Named(model string) (int, time.Duration) {
+// Behind returns how long weights newer than a version have been named; false if
+// none have. What counts is the first newer version, not the newest.
+func (o *operator) Behind(model string, version int) (time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n := o.named[model]
-	if !n.dated && n.version > 0 {
-		return n.version, undatedAge
+	for _, n := range o.named[model] {
+		switch {
+		case n.version <= version:
+			continue
+		case !n.dated:
+			return undatedAge, true
+		}
+		return wire.Boot() - n.at, true
 	}
-	return n.version, wire.Boot() - n.at
+	return 0, false
 }
 
 // Models returns the named versions.
@@ -144,8 +160,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	out := make(map[string]int, len(o.named))
-	for m, n := range o.named {
-		out[m] = n.version
+	for m, history := range o.named {
+		out[m] = history[len(history)-1].version
 	}
 	return out
 }
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -105,7 +105,7 @@
 	h.poison = poison.New()
 	h.stash = stash.NewCatalog(s.Zones, stash.WithLog(h.log))
 	h.pollers = newPollers(h)
-	h.operator = &operator{decode: p, log: h.log, named: map[string]named{}, onSite: h.siteChanged}
+	h.operator = &operator{decode: p, log: h.log, named: map[string][]named{}, onSite: h.siteChanged}
 	h.lister = &lister{decode: p, fleet: h.fleet, log: h.log}
 	h.gate = gate.New(
 		p.Codec(), h.fleet, gate.WithLog(h.log), gate.WithAllowance(s.allowance()),
@@ -212,9 +212,10 @@
 
 func (h *Host) hosts() int { return h.members.count() }
 
-// Named returns the newest named weight version of a model and how long this host
-// has known it.
-func (h *Host) Named(model string) (int, time.Duration) { return h.operator.Named(model) }
+// Behind returns how long weights newer than a version have been named.
+func (h *Host) Behind(model string, version int) (time.Duration, bool) {
+	return h.operator.Behind(model, version)
+}
 
 // Ages returns the named versions whose age this host knows.
 func (h *Host) Ages() map[string]hail.Named { return h.operator.Ages() }
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -50,7 +50,12 @@
 	if j.Prompt == nil {
 		return place.Plain(cs, g.costs)
 	}
-	return place.Prompt(work(j.Prompt), cs, g.costs)
+
+	w := work(j.Prompt)
+	if j.waiting > 0 {
+		w.WaitedMs = float64(wire.Boot()-j.waiting) / float64(time.Millisecond)
+	}
+	return place.Prompt(w, cs, g.costs)
 }
 
 func (g *Gate) candidate(j *job, s fleet.Status, look map[string]Holdings) place.Candidate {
@@ -63,8 +68,8 @@
 		return c
 	}
 	version := s.Versions[j.Prompt.Model]
-	named, since := g.weights.Named(j.Prompt.Model)
-	c.Stale = version < named && since > staleGrace
+	since, behind := g.weights.Behind(j.Prompt.Model, version)
+	c.Stale = behind && since > staleGrace
 	scope := g.keeper.Scope(j.Prompt.Model, version, j.account)
 	known, ok := look[scope]
 	if !ok {
@@ -84,8 +89,8 @@
 	if j.Prompt == nil || limit <= 0 {
 		return false
 	}
-	named, since := g.weights.Named(j.Prompt.Model)
-	return s.Versions[j.Prompt.Model] < named && since > limit
+	since, behind := g.weights.Behind(j.Prompt.Model, s.Versions[j.Prompt.Model])
+	return behind && since > limit
 }
 
 // work sums up a prompt. The subject is the last part that others share.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -151,5 +151,5 @@
 
 type noWeights struct{}
 
-func (noWeights) Named(string) (int, time.Duration) { return 0, 0 }
-func (noWeights) Loading(string) bool               { return false }
+func (noWeights) Behind(string, int) (time.Duration, bool) { return 0, false }
+func (noWeights) Loading(string) bool                      { return false }
--- a/internal/gate/handle.go
+++ b/internal/gate/handle.go
@@ -52,6 +52,9 @@
 	last  string
 	// waited is the time spent without room, first the time to the first event.
 	waited, first time.Duration
+	// waiting is the boot time since which the request has waited; zero if it has
+	// not been without room.
+	waiting time.Duration
 	// heard is the boot time of the last event of the attempt under way.
 	heard atomic.Int64
 }
--- a/internal/gate/types.go
+++ b/internal/gate/types.go
@@ -133,10 +133,11 @@
 	Weigh(t fleet.Target) (resident, stored int, fetchMs float64)
 }
 
-// Weights tells which weight version of a model was named last; zero if none.
+// Weights tells which weights have been named and which engines load them.
 type Weights interface {
-	// Named also returns how long ago that was.
-	Named(model string) (int, time.Duration)
+	// Behind returns how long weights newer than a version have been named; false if
+	// none have.
+	Behind(model string, version int) (time.Duration, bool)
 	// Loading reports whether a target is about to change its weights.
 	Loading(target string) bool
 }
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -85,6 +85,7 @@
 	if len(g.waiting[name]) >= maxWaiting {
 		return false
 	}
+	w.job.waiting = wire.Boot()
 	g.waiting[name] = append(g.waiting[name], w)
 	g.dispatch(name)
 	return true
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -48,6 +48,8 @@
 	Subject string
 	// Shared and Own are the tokens of the shared parts and of the rest.
 	Shared, Own int
+	// WaitedMs is how long the request has waited for room.
+	WaitedMs float64
 }
 
 // Weights turn beliefs into expected milliseconds.
@@ -75,6 +77,11 @@
 	// UnreadLimit is the number of tokens to be read that a busy engine may have
 	// before it; more would wait there for longer than a request should.
 	UnreadLimit int
+	// PatienceMs is how long a request waits until each further millisecond adds
+	// PatienceTokens to that limit, so that large requests are not passed over by
+	// small ones forever.
+	PatienceMs     float64
+	PatienceTokens float64
 	// RoomShare is the share of an engine's memory that calls may fill.
 	RoomShare float64
 	// SlotsOver is the number of calls that may wait at a target without a prompt.
@@ -88,7 +95,7 @@
 		WayMs: [3]float64{1, 4, 42}, ReadMs: 1.0 / 64, AgainMs: 1.0 / 30,
 		CallMs: 3, PlainMs: 8, DelayMs: 1, HomeMs: 60,
 		RiskMs: 1500, DownMs: 20000, StaleMs: 120,
-		UnreadLimit: 12000, RoomShare: 0.95, SlotsOver: 3,
+		UnreadLimit: 12000, PatienceMs: 1000, PatienceTokens: 40, RoomShare: 0.95, SlotsOver: 3,
 	}
 }
 
@@ -167,7 +174,8 @@
 	case float64(c.Tokens+w.Shared+w.Own) > k.RoomShare*float64(c.Room):
 		return false
 	}
-	return c.Unread == 0 || c.Unread+missing <= k.UnreadLimit
+	limit := k.UnreadLimit + int(max(w.WaitedMs-k.PatienceMs, 0)*k.PatienceTokens)
+	return c.Unread == 0 || c.Unread+missing <= limit
 }
 
 // Home returns the index of the engine that every host prefers for a subject,
