--- /dev/null
+++ b/internal/lease/sole_test.go
@@ -0,0 +1,113 @@
+package lease_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/lease"
+	"sesamehill.example/sesamehill/internal/table"
+)
+
+// counted is a table whose row versions come from one counter of all writes.
+type counted struct {
+	mu      sync.Mutex
+	rows    map[string]table.Row
+	version uint64
+}
+
+func (c *counted) Read(_ context.Context, keys ...string) ([]table.Row, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []table.Row
+	for _, k := range keys {
+		row := c.rows[k]
+		row.Key = k
+		out = append(out, row)
+	}
+	return out, nil
+}
+
+func (c *counted) Scan(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
+
+func (c *counted) Write(_ context.Context, ops []table.Op) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range ops {
+		if c.rows[o.Key].Version != o.Version {
+			return &table.ConflictError{Key: o.Key, Version: c.rows[o.Key].Version}
+		}
+	}
+	c.version += 7 // other rows are written too
+	for _, o := range ops {
+		c.rows[o.Key] = table.Row{Key: o.Key, Version: c.version, Value: o.Value}
+	}
+	return nil
+}
+
+var _ = Describe("a lease of hosts that run one process at a time", func() {
+	var now time.Time
+	var rows *counted
+	contender := func(host string) *lease.Lease {
+		return lease.New(
+			rows, "orders", host, lease.WithClock(func() time.Time { return now }), lease.WithReadBack(), lease.WithSole(),
+			lease.WithTerms(1600*time.Millisecond, 400*time.Millisecond, 2800*time.Millisecond),
+		)
+	}
+	step := func(l *lease.Lease) { Expect(l.Step(context.Background())).To(Succeed()) }
+	holds := func(l *lease.Lease) bool {
+		_, err := l.Fence()
+		return err == nil
+	}
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		rows = &counted{rows: map[string]table.Row{}}
+	})
+
+	// Guards against a rollout that stands still after all machines have restarted.
+	It("is taken over by the next process of its holder at once, with a higher fence", func() {
+		first := contender("a")
+		step(first)
+		before, err := first.Fence()
+		Expect(err).NotTo(HaveOccurred())
+		again := contender("a")
+		step(again)
+		after, err := again.Fence()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).To(BeNumerically(">", before))
+		Expect(again.Unfenced()).To(BeTrue())
+	})
+
+	// Guards against orders of two hosts within the time in which holders may not
+	// take turns, here three seconds.
+	It("passes to another host only after the last possible order is three seconds old", func() {
+		old, next := contender("a"), contender("b")
+		step(old)
+		step(next)
+		lastOrder := time.Time{}
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			if holds(old) {
+				lastOrder = now
+			}
+			step(next)
+			if holds(next) && next.Unfenced() {
+				break
+			}
+		}
+		Expect(next.Unfenced()).To(BeTrue())
+		Expect(now.Sub(lastOrder)).To(BeNumerically(">=", 3*time.Second))
+	})
+
+	It("is renewed although the versions of its row skip", func() {
+		l := contender("a")
+		for range 20 {
+			step(l)
+			Expect(holds(l)).To(BeTrue())
+			now = now.Add(400 * time.Millisecond)
+		}
+	})
+})
