Free state of replaced weights once every host has stopped fetching it

Hosts stop fetching a second after newer weights were named and say in their messages that they know; the holder frees when all hosts have.

--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -10,9 +10,11 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/hail"
 	"sesamehill.example/sesamehill/internal/lease"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/roll"
+	"sesamehill.example/sesamehill/internal/stash"
 	"sesamehill.example/sesamehill/internal/tree"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -31,10 +33,14 @@
 	leaseTimeout = 500 * time.Millisecond
 	// contendPeriod is the time between two looks at who takes part in the lease.
 	contendPeriod = time.Second
-	freePeriod    = time.Second
+	freePeriod    = 300 * time.Millisecond
 	// freeAfter is how long all engines have held the named weights before state
 	// of older ones is freed; it exceeds the longest fetch.
 	freeAfter = 4 * time.Second
+	// releaseAfter is how long a host must have known of new weights until it
+	// certainly fetches no state of older ones: it stops after fetchReplaced, and a
+	// fetch ends within stash.FetchLimit.
+	releaseAfter = fetchReplaced + stash.FetchLimit + 500*time.Millisecond
 	// freeBatch bounds the parts of one call.
 	freeBatch   = 200
 	freeTimeout = time.Second
@@ -53,10 +59,19 @@
 	busy map[string]time.Duration
 	// current is since when all engines hold the named weights.
 	current time.Duration
+	// acks holds since when each host knows the named weights, by host and model.
+	acks map[string]map[string]ack
+}
+
+// ack is a host's word that it knows a weight version.
+type ack struct {
+	version int
+	// since is the boot time at which the host had learned of the version.
+	since time.Duration
 }
 
 func newDuty(h *Host) *duty {
-	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}}
+	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}, acks: map[string]map[string]ack{}}
 	d.lease = lease.New(
 		h.platform.Table(leaseTable), leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(), lease.WithSole(),
 		lease.WithTerms(leaseTTL, leaseMargin, h.settings.flight()), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
@@ -183,16 +198,62 @@
 	d.host.log.Info("dependency regained", zap.String("table", dutyTable), zap.Duration("after", after))
 }
 
+// acknowledged notes that another host knows a weight version.
+func (d *duty) acknowledged(host, model string, n hail.Named) {
+	since := wire.Boot() - time.Duration(n.Age)*time.Millisecond
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.acks[host] == nil {
+		d.acks[host] = map[string]ack{}
+	}
+	if old := d.acks[host][model]; old.version != n.Version || since > old.since {
+		d.acks[host][model] = ack{version: n.Version, since: since}
+	}
+}
+
+// unused returns the models, with their named versions, of which no host fetches
+// state of older versions any more: all engines have changed, or every host has
+// known of the newest version for long enough.
+func (d *duty) unused() map[string]int {
+	named := d.host.operator.Models()
+	if d.settled() {
+		return named
+	}
+	others, ok := d.host.members.others()
+	out := map[string]int{}
+	for model, version := range named {
+		age, behind := d.host.operator.Behind(model, version-1)
+		if ok && behind && age != undatedAge && age > releaseAfter && d.allKnow(others, model, version) {
+			out[model] = version
+		}
+	}
+	return out
+}
+
+func (d *duty) allKnow(hosts []string, model string, version int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := wire.Boot()
+	for _, h := range hosts {
+		a, ok := d.acks[h][model]
+		if !ok || a.version < version || now-a.since < releaseAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // free frees the state of replaced weights while this host holds the lease.
 func (d *duty) free(ctx context.Context) error {
 	for pause.For(ctx, freePeriod) == nil {
-		if !d.settled() {
+		models := d.unused()
+		if len(models) == 0 {
 			continue
 		}
 		if _, err := d.lease.Fence(); err != nil || !d.lease.Unfenced() {
 			continue
 		}
-		d.freeOld(ctx)
+		d.freeOld(ctx, models)
 	}
 	return nil
 }
@@ -213,8 +274,8 @@
 	return now-d.current > freeAfter
 }
 
-func (d *duty) freeOld(ctx context.Context) {
-	for _, g := range d.host.stash.Garbage(d.host.operator.Models()) {
+func (d *duty) freeOld(ctx context.Context, models map[string]int) {
+	for _, g := range d.host.stash.Garbage(models) {
 		for len(g.Keys) > 0 {
 			n := min(len(g.Keys), freeBatch)
 			limited, cancel := context.WithTimeout(ctx, freeTimeout)
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -28,6 +28,9 @@
 	// host that has stopped being ready: it asks once a second and waits for two
 	// misses.
 	balancerLag = 2500 * time.Millisecond
+	// fetchReplaced is how long state of replaced weights is fetched after newer
+	// ones were named.
+	fetchReplaced = time.Second
 	// fastListPace and slowListPace are well below the time for which a leaving
 	// target takes requests.
 	fastListPace = 300 * time.Millisecond
@@ -103,7 +106,7 @@
 	}
 	h.fleet = fleet.New(fleet.WithChanged(h.targetChanged))
 	h.poison = poison.New()
-	h.stash = stash.NewCatalog(s.Zones, stash.WithLog(h.log))
+	h.stash = stash.NewCatalog(s.Zones, stash.WithLog(h.log), stash.WithUse(h.use))
 	h.pollers = newPollers(h)
 	h.operator = &operator{decode: p, log: h.log, named: map[string][]named{}, onSite: h.siteChanged}
 	h.lister = &lister{decode: p, fleet: h.fleet, log: h.log}
@@ -165,6 +168,15 @@
 	h.log.Info("stopped")
 }
 
+// use says whether state of a weight version may be fetched and saved. State of
+// replaced weights is saved no more, and is fetched only for a moment, so that it
+// can be freed soon. A host that has not written its row for long fetches
+// nothing: the others may have stopped waiting for its word.
+func (h *Host) use(model string, version int) (fetch, save bool) {
+	age, behind := h.operator.Behind(model, version)
+	return (!behind || age < fetchReplaced) && h.members.confirmed(), !behind
+}
+
 // listPace is the time between two looks at the list of targets. Entries change
 // often, and each change would otherwise wake every host.
 func (h *Host) listPace() time.Duration {
@@ -221,7 +233,10 @@
 func (h *Host) Ages() map[string]hail.Named { return h.operator.Ages() }
 
 // Heard takes over what another host knows about named weights.
-func (h *Host) Heard(model string, n hail.Named) { h.operator.Heard(model, n) }
+func (h *Host) Heard(host, model string, n hail.Named) {
+	h.operator.Heard(model, n)
+	h.duty.acknowledged(host, model, n)
+}
 
 // Progress returns the progress of this host's orders; nil if it gives none.
 func (h *Host) Progress() *roll.Progress { return h.duty.roller.Progress() }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -26,7 +26,10 @@
 	maxMemberPeriod = 4 * time.Second
 	fewHosts        = 10
 	// memberMemory is how long a host counts after its row changed last.
-	memberMemory  = 12 * time.Second
+	memberMemory = 12 * time.Second
+	// confirmFor is how long a host uses kept state after its row was written last.
+	// It is shorter than memberMemory by more than a fetch can last.
+	confirmFor    = 9 * time.Second
 	memberTimeout = 700 * time.Millisecond
 	// assumedHosts is the number of hosts that a host assumes to share budgets
 	// with before it knows better; minHosts is the least it ever assumes.
@@ -60,6 +63,9 @@
 	// missed while nothing can be read: a host that took itself for alone would
 	// claim every budget.
 	heard time.Duration
+	// written is the boot time at which the last successful write of this host's row
+	// began.
+	written time.Duration
 }
 
 type sighting struct {
@@ -100,9 +106,38 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
+	began := wire.Boot()
 	if err := m.table.Put(ctx, row.Host, b); err != nil {
 		m.host.log.Debug("row of this host not written", zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	m.written = began
+	m.mu.Unlock()
+}
+
+// confirmed reports whether the other hosts still count on this one.
+func (m *members) confirmed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.written != 0 && wire.Boot()-m.written < confirmFor
+}
+
+// others returns the other hosts that may be alive; false if the rows were not
+// read lately.
+func (m *members) others() ([]string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heard == 0 || wire.Boot()-m.heard > 2*maxMemberPeriod {
+		return nil, false
+	}
+	var names []string
+	for _, n := range m.live() {
+		if n != m.host.settings.Name {
+			names = append(names, n)
+		}
 	}
+	return names, true
 }
 
 func (m *members) read(ctx context.Context) {
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -63,7 +63,7 @@
 	// Ages returns the versions whose age the host knows.
 	Ages() map[string]Named
 	// Heard takes over what another host knows.
-	Heard(model string, n Named)
+	Heard(host, model string, n Named)
 }
 
 // Check returns an error if the message cannot be used.
@@ -158,7 +158,7 @@
 		h.weights.Learn(*m.Progress)
 	}
 	for model, n := range m.Named {
-		h.weights.Heard(model, n)
+		h.weights.Heard(m.Host, model, n)
 	}
 }
 
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -16,12 +16,10 @@
 const (
 	// belief is how long a store's state is believed after a poll began.
 	belief = 1600 * time.Millisecond
-	// fetchLimit is how long a fetch may take from the time at which it is sent.
-	fetchLimit = 1500 * time.Millisecond
 	// settle is how long a store takes nothing after a restart was noticed. It
-	// exceeds belief and fetchLimit together, so that no host still fetches what
+	// exceeds belief and FetchLimit together, so that no host still fetches what
 	// is being written again.
-	settle = belief + fetchLimit + 500*time.Millisecond
+	settle = belief + FetchLimit + 500*time.Millisecond
 	// saveMemory is how long a save that was asked for is not asked for again.
 	saveMemory = 2 * time.Second
 	// residentMemory is how long an engine is expected to keep what it was sent.
@@ -33,6 +31,9 @@
 	fullShare = 0.97
 )
 
+// FetchLimit is how long a fetch may take from the time at which it is sent.
+const FetchLimit = 1500 * time.Millisecond
+
 // Key names a part within a scope.
 type Key struct {
 	Scope string `cbor:"1,keyasint"`
@@ -97,6 +98,12 @@
 // WithClock sets the boot clock.
 func WithClock(now func() time.Duration) Option { return func(c *Catalog) { c.now = now } }
 
+// WithUse sets a function that says whether state of a weight version may be
+// fetched and saved.
+func WithUse(f func(model string, version int) (fetch, save bool)) Option {
+	return func(c *Catalog) { c.use = f }
+}
+
 // WithLog sets the log of changes of belief.
 func WithLog(l *zap.Logger) Option { return func(c *Catalog) { c.log = l } }
 
@@ -105,6 +112,7 @@
 	mu      sync.Mutex
 	now     func() time.Duration
 	log     *zap.Logger
+	use     func(model string, version int) (fetch, save bool)
 	regions map[string]string
 	stores  map[string]*store
 	order   []*store
@@ -132,7 +140,7 @@
 		panic(err) // the size is positive
 	}
 	c := &Catalog{
-		now: wire.Boot, log: zap.NewNop(), regions: regions, stores: map[string]*store{}, sends: sends,
+		now: wire.Boot, log: zap.NewNop(), use: always, regions: regions, stores: map[string]*store{}, sends: sends,
 		changed: make(chan struct{}),
 	}
 	for _, o := range opts {
@@ -141,6 +149,8 @@
 	return c
 }
 
+func always(string, int) (fetch, save bool) { return true, true }
+
 // Describe sets the stores of a site and returns their addresses.
 func (c *Catalog) Describe(s *site.Site) []string {
 	c.mu.Lock()
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -58,13 +58,18 @@
 
 // Look returns what is known about the shared parts of a prompt.
 func (c *Catalog) Look(p *gate.Prompt, scope string) gate.Holdings {
+	fetch, _ := c.allowed(scope)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := &holdings{catalog: c, scope: scope, now: c.now()}
 	for _, part := range p.Shared() {
 		h.subject = part.ID
 		h.tokens += part.Tokens
-		h.parts = append(h.parts, holding{tokens: part.Tokens, stores: c.holders(Key{scope, part.ID}, h.now)})
+		known := holding{tokens: part.Tokens}
+		if fetch {
+			known.stores = c.holders(Key{scope, part.ID}, h.now)
+		}
+		h.parts = append(h.parts, known)
 	}
 	return h
 }
@@ -116,6 +121,7 @@
 
 // Plan returns how an attempt at a target uses the stores.
 func (c *Catalog) Plan(p *gate.Prompt, scope string, version int, t fleet.Target) *gate.State {
+	fetch, save := c.allowed(scope)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
@@ -127,20 +133,23 @@
 	for i, part := range shared {
 		key := Key{scope, part.ID}
 		if s, factor := c.nearest(c.holders(key, now), t.Zone); s != nil {
-			if took := c.partMs(s, part.Tokens, factor, now); worth(part.Tokens, took, c.paceOf(s, now)) {
+			if took := c.partMs(s, part.Tokens, factor, now); fetch && worth(part.Tokens, took, c.paceOf(s, now)) {
 				st.Fetch[i] = s.Address
 				fetches = true
 				ms += took
 			}
 			continue
 		}
+		if !save {
+			continue
+		}
 		if s := c.keep(key, part.Tokens, t.Zone, now); s != nil {
 			st.Save[i] = s.Address
 			s.saving[key] = now
 		}
 	}
 	if fetches && c.hasOffset {
-		limit := min(max(time.Duration(fetchSlack*ms*float64(time.Millisecond)), fetchLeast), fetchLimit)
+		limit := min(max(time.Duration(fetchSlack*ms*float64(time.Millisecond)), fetchLeast), FetchLimit)
 		st.Until = now.Milliseconds() + c.offset + limit.Milliseconds()
 		st.FetchMs = ms
 	}
@@ -153,6 +162,15 @@
 	return st
 }
 
+// allowed reports whether state of a scope may be fetched and saved.
+func (c *Catalog) allowed(scope string) (fetch, save bool) {
+	model, version, ok := parseScope(scope)
+	if !ok {
+		return false, false
+	}
+	return c.use(model, version)
+}
+
 // holders returns the stores that certainly hold a part.
 func (c *Catalog) holders(k Key, now time.Duration) []*store {
 	var out []*store
