--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -77,6 +77,8 @@
 	// holds the requests without room by service.
 	placing sync.Mutex
 	waiting map[string][]*waiter
+	// kicked is set while a look at the waiting requests is due.
+	kicked atomic.Bool
 }
 
 // New returns a gate that knows no site yet and answers 503.
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -19,9 +19,11 @@
 	waitShare = 0.4
 	// maxWaiting bounds the requests that wait for one service.
 	maxWaiting = 512
+	// kickDelay is the time in which changes of belief gather.
+	kickDelay = 12 * time.Millisecond
 	// maxMisses is the number of waiting requests without room after which the
 	// rest is not tried.
-	maxMisses = 6
+	maxMisses = 4
 )
 
 // verdict is the end of a wait: granted, unplaced or expired.
@@ -112,8 +114,16 @@
 	return expired{waited: waited}
 }
 
-// Kick places waiting requests after a change of belief.
+// Kick places waiting requests soon after a change of belief. Changes that come
+// together are answered together, as each look weighs every target.
 func (g *Gate) Kick() {
+	if g.kicked.CompareAndSwap(false, true) {
+		time.AfterFunc(kickDelay, g.dispatchAll)
+	}
+}
+
+func (g *Gate) dispatchAll() {
+	g.kicked.Store(false)
 	g.placing.Lock()
 	defer g.placing.Unlock()
 	for name, list := range g.waiting {
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -30,7 +30,7 @@
 	// perPeer is what each further host adds, so that the traffic stays flat.
 	minPeriod = 60 * time.Millisecond
 	maxPeriod = 500 * time.Millisecond
-	perPeer   = 5 * time.Millisecond
+	perPeer   = 12 * time.Millisecond
 	// farPerRound is the number of hosts of other regions for which a round more is
 	// left out, as the links between regions are narrow.
 	farPerRound = 5
