--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -110,18 +110,26 @@
 var errSlow = errors.New("the target has fallen silent")
 
 // watch ends an attempt at a silent target if the request may go on at another
-// one. A stream whose target answers others waits its turn.
+// one. A stream whose target answers others, or takes connections, waits its turn.
 func (g *Gate) watch(ctx context.Context, cancel context.CancelCauseFunc, j *job, c choice) func() {
 	if j.route.Kind != site.Streaming || !j.route.Resumable || j.attempts+1 >= j.route.Attempts {
 		return func() {}
 	}
 	begin := wire.Boot()
+	asked := begin
 	limit := max(stallGoals*j.route.Goal, 2*silentLimit)
 	ctx, stop := context.WithCancel(ctx)
 	go func() {
 		for pause.For(ctx, stallPeriod) == nil {
-			quiet := wire.Boot() - max(begin, time.Duration(j.heard.Load()))
-			if quiet > silentLimit && c.attempt.Silent(silentLimit) || quiet > limit && c.attempt.Idle() {
+			last := time.Duration(j.heard.Load())
+			quiet := wire.Boot() - max(begin, last)
+			dead := quiet > silentLimit && wire.Boot()-asked > silentLimit && c.attempt.Silent(silentLimit)
+			if dead && last < begin {
+				// No event came yet: the request may wait its turn there.
+				asked = wire.Boot()
+				dead = !g.reachable(ctx, c.Address)
+			}
+			if dead || quiet > limit && c.attempt.Idle() {
 				cancel(errSlow)
 				return
 			}
@@ -130,6 +138,17 @@
 	return stop
 }
 
+// reachable reports whether a target takes a connection. A host that has only a
+// few calls at a target hears little of it, which says nothing about the target.
+func (g *Gate) reachable(ctx context.Context, address string) bool {
+	conn, err := g.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return ctx.Err() != nil
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
 // unanswered decides about an attempt that brought no answer.
 func (g *Gate) unanswered(ctx context.Context, j *job, err error) (ending, fleet.Outcome) {
 	slow := errors.Is(context.Cause(ctx), errSlow)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,7 @@
 	site   atomic.Pointer[site.Site]
 	kept   http.RoundTripper
 	fresh  http.RoundTripper
+	dialer *net.Dialer
 	ending atomic.Bool
 	// Metrics are the counters of the gate.
 	Metrics *Metrics
@@ -88,7 +90,7 @@
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.Defaults(),
-		kept: wire.NewTransport(wire.Kept), fresh: wire.NewTransport(wire.Fresh),
+		kept: wire.NewTransport(wire.Kept), fresh: wire.NewTransport(wire.Fresh), dialer: wire.Dialer(),
 		windows: map[string]*retry.Window{}, waiting: map[string][]*waiter{}, Metrics: newMetrics(), poison: poison.New(),
 	}
 	for _, o := range opts {
