--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,82 +31,6 @@
 	versionGrace = 4 * time.Second
 )
 
-// Target is an entry of the platform's list.
-type Target struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Slots   int    `json:"slots"`
-	Leaving bool   `json:"leaving"`
-	// Born is the Unix millisecond of the target's start.
-	Born int64 `json:"born"`
-	// Cold is how much longer the target stays slow after its start.
-	Cold time.Duration `json:"cold"`
-	// Versions are the weight versions by model.
-	Versions map[string]int `json:"versions"`
-}
-
-// Outcome is how an attempt ended.
-type Outcome int
-
-// Outcomes of an attempt.
-const (
-	// Served means that the target answered.
-	Served Outcome = iota
-	// Refused means that the target said that it did not run the request.
-	Refused
-	// Failed means that the target broke off, stayed silent or sent bytes that
-	// are no answer.
-	Failed
-	// Unreachable means that no connection came about.
-	Unreachable
-	// Left means that the caller went away.
-	Left
-)
-
-// Load is a target's own report: requests running and waiting, and its places.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
-// Flight is what calls in flight ask of a target.
-type Flight struct {
-	Calls int `json:"calls" cbor:"1,keyasint,omitempty"`
-	// Tokens is the memory that they need.
-	Tokens int `json:"tokens" cbor:"2,keyasint,omitempty"`
-	// Unread are prompt tokens still to be read, Fetching those still to be
-	// fetched.
-	Unread   int `json:"unread" cbor:"3,keyasint,omitempty"`
-	Fetching int `json:"fetching" cbor:"4,keyasint,omitempty"`
-}
-
-// Add returns the sum of two flights.
-func (f Flight) Add(g Flight) Flight {
-	return Flight{f.Calls + g.Calls, f.Tokens + g.Tokens, f.Unread + g.Unread, f.Fetching + g.Fetching}
-}
-
-// Sub returns the difference of two flights.
-func (f Flight) Sub(g Flight) Flight {
-	return Flight{f.Calls - g.Calls, f.Tokens - g.Tokens, f.Unread - g.Unread, f.Fetching - g.Fetching}
-}
-
-// Status is a target with what the host knows about it.
-type Status struct {
-	Target
-	// Flight is this host's, Others that of the other hosts.
-	Flight Flight `json:"flight"`
-	Others Flight `json:"others"`
-	// Heard is the boot time of the last byte from the target.
-	Heard time.Duration `json:"heard"`
-	// Waiting is the number of requests that waited at the last report.
-	Waiting int `json:"waiting"`
-	// Risk is the share of attempts that failed lately.
-	Risk float64 `json:"risk"`
-	// Down targets refused a connection a moment ago.
-	Down bool `json:"down"`
-}
-
 type state struct {
 	Target
 	flight   Flight
@@ -138,12 +62,6 @@
 // must not call the fleet.
 func WithChanged(c func(Change)) Option { return func(f *Fleet) { f.changed = c } }
 
-// Change is a change of belief about one target.
-type Change struct {
-	Target Target
-	What   string
-}
-
 // Fleet is the set of targets. It is safe for concurrent use.
 type Fleet struct {
 	mu       sync.Mutex
@@ -158,12 +76,6 @@
 	graceEnd time.Duration
 }
 
-// told is what another host said.
-type told struct {
-	at      time.Duration
-	flights map[string]Flight
-}
-
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
 	f := &Fleet{now: wire.Boot, changed: func(Change) {}, targets: map[string]*state{}, others: map[string]told{}}
@@ -174,82 +86,6 @@
 	return f
 }
 
-// Attempt is an attempt in flight.
-type Attempt struct {
-	fleet *Fleet
-	state *state
-	left  Flight
-	ended bool
-}
-
-// Begin notes an attempt.
-func (f *Fleet) Begin(id string, need Flight) *Attempt {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, ok := f.targets[id]
-	if !ok {
-		return &Attempt{fleet: f, ended: true}
-	}
-	need.Calls = 1
-	s.flight = s.flight.Add(need)
-	return &Attempt{fleet: f, state: s, left: need}
-}
-
-// Heard notes that the target has sent something; its prompt has been read.
-func (a *Attempt) Heard() {
-	a.fleet.mu.Lock()
-	defer a.fleet.mu.Unlock()
-	if a.ended {
-		return
-	}
-	a.state.heard = a.fleet.now()
-	read := Flight{Unread: a.left.Unread, Fetching: a.left.Fetching}
-	a.state.flight = a.state.flight.Sub(read)
-	a.left = a.left.Sub(read)
-}
-
-// Silent reports whether nothing at all came from the target for a time.
-func (a *Attempt) Silent(d time.Duration) bool {
-	a.fleet.mu.Lock()
-	defer a.fleet.mu.Unlock()
-	return !a.ended && a.fleet.now()-a.state.heard > d
-}
-
-// Idle reports whether no request waited at the target when it last said so.
-func (a *Attempt) Idle() bool {
-	a.fleet.mu.Lock()
-	defer a.fleet.mu.Unlock()
-	return !a.ended && a.state.waiting == 0
-}
-
-// End notes the end; only its first call counts.
-func (a *Attempt) End(o Outcome) {
-	a.fleet.mu.Lock()
-	defer a.fleet.mu.Unlock()
-	if a.ended {
-		return
-	}
-	a.ended = true
-	a.state.flight = a.state.flight.Sub(a.left)
-	a.fleet.end(a.state, o)
-}
-
-func (f *Fleet) end(s *state, o Outcome) {
-	now := f.now()
-	switch o {
-	case Served:
-		s.note(0, now)
-		s.downs, s.downUntil = 0, 0
-	case Failed:
-		s.note(1, now)
-	case Unreachable:
-		s.note(1, now)
-		s.downs++
-		s.downUntil = now + min(firstDown<<min(s.downs-1, 3), maxDown)
-		f.changed(Change{Target: s.Target, What: "unreachable"})
-	}
-}
-
 // Get returns a target.
 func (f *Fleet) Get(id string) (Status, bool) {
 	f.mu.Lock()
@@ -430,51 +266,6 @@
 	}
 }
 
-// otherFlight returns what the other hosts have in flight at a target: what they
-// told, or what its load reports suggest if none of them was heard.
-func (f *Fleet) otherFlight(s *state, now time.Duration) Flight {
-	if len(f.others) > 0 {
-		return s.told
-	}
-	return Flight{Calls: int(math.Round(s.otherCalls(now)))}
-}
-
-// Told notes what another host has in flight.
-func (f *Fleet) Told(host string, flights map[string]Flight) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.forget(host)
-	f.others[host] = told{at: f.now(), flights: flights}
-	for id, flight := range flights {
-		if s, ok := f.targets[id]; ok {
-			s.told = s.told.Add(flight)
-		}
-	}
-}
-
-// forget drops what another host told.
-func (f *Fleet) forget(host string) {
-	for id, flight := range f.others[host].flights {
-		if s, ok := f.targets[id]; ok {
-			s.told = s.told.Sub(flight)
-		}
-	}
-	delete(f.others, host)
-}
-
-// forgetOld drops what was told too long ago.
-func (f *Fleet) forgetOld(now time.Duration) {
-	if now-f.swept < toldMemory/8 {
-		return
-	}
-	f.swept = now
-	for host, t := range f.others {
-		if now-t.at > toldMemory {
-			f.forget(host)
-		}
-	}
-}
-
 // replace sets the state of a target that is new or has restarted. What other
 // hosts told counts for it too, until they tell again.
 func (f *Fleet) replace(t Target) {
@@ -485,19 +276,6 @@
 	f.targets[t.ID] = s
 }
 
-// Flights returns what this host has in flight.
-func (f *Fleet) Flights() map[string]Flight {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := map[string]Flight{}
-	for id, s := range f.targets {
-		if s.flight != (Flight{}) {
-			out[id] = s.flight
-		}
-	}
-	return out
-}
-
 func (f *Fleet) status(s *state, now time.Duration) Status {
 	st := s.status(now)
 	st.Others = f.otherFlight(s, now)
--- /dev/null
+++ b/internal/fleet/flight.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+// Flight is what calls in flight ask of a target.
+type Flight struct {
+	Calls int `json:"calls" cbor:"1,keyasint,omitempty"`
+	// Tokens is the memory that they need.
+	Tokens int `json:"tokens" cbor:"2,keyasint,omitempty"`
+	// Unread are prompt tokens still to be read, Fetching those still to be
+	// fetched.
+	Unread   int `json:"unread" cbor:"3,keyasint,omitempty"`
+	Fetching int `json:"fetching" cbor:"4,keyasint,omitempty"`
+}
+
+// Add returns the sum of two flights.
+func (f Flight) Add(g Flight) Flight {
+	return Flight{f.Calls + g.Calls, f.Tokens + g.Tokens, f.Unread + g.Unread, f.Fetching + g.Fetching}
+}
+
+// Sub returns the difference of two flights.
+func (f Flight) Sub(g Flight) Flight {
+	return Flight{f.Calls - g.Calls, f.Tokens - g.Tokens, f.Unread - g.Unread, f.Fetching - g.Fetching}
+}
+
+// told is what another host said.
+type told struct {
+	at      time.Duration
+	flights map[string]Flight
+}
+
+// Attempt is an attempt in flight.
+type Attempt struct {
+	fleet *Fleet
+	state *state
+	left  Flight
+	ended bool
+}
+
+// Begin notes an attempt.
+func (f *Fleet) Begin(id string, need Flight) *Attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok {
+		return &Attempt{fleet: f, ended: true}
+	}
+	need.Calls = 1
+	s.flight = s.flight.Add(need)
+	return &Attempt{fleet: f, state: s, left: need}
+}
+
+// Heard notes that the target has sent something; its prompt has been read.
+func (a *Attempt) Heard() {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.state.heard = a.fleet.now()
+	read := Flight{Unread: a.left.Unread, Fetching: a.left.Fetching}
+	a.state.flight = a.state.flight.Sub(read)
+	a.left = a.left.Sub(read)
+}
+
+// Silent reports whether nothing at all came from the target for a time.
+func (a *Attempt) Silent(d time.Duration) bool {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	return !a.ended && a.fleet.now()-a.state.heard > d
+}
+
+// Idle reports whether no request waited at the target when it last said so.
+func (a *Attempt) Idle() bool {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	return !a.ended && a.state.waiting == 0
+}
+
+// End notes the end; only its first call counts.
+func (a *Attempt) End(o Outcome) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.state.flight = a.state.flight.Sub(a.left)
+	a.fleet.end(a.state, o)
+}
+
+func (f *Fleet) end(s *state, o Outcome) {
+	now := f.now()
+	switch o {
+	case Served:
+		s.note(0, now)
+		s.downs, s.downUntil = 0, 0
+	case Failed:
+		s.note(1, now)
+	case Unreachable:
+		s.note(1, now)
+		s.downs++
+		s.downUntil = now + min(firstDown<<min(s.downs-1, 3), maxDown)
+		f.changed(Change{Target: s.Target, What: "unreachable"})
+	}
+}
+
+// otherFlight returns what the other hosts have in flight at a target: what they
+// told, or what its load reports suggest if none of them was heard.
+func (f *Fleet) otherFlight(s *state, now time.Duration) Flight {
+	if len(f.others) > 0 {
+		return s.told
+	}
+	return Flight{Calls: int(math.Round(s.otherCalls(now)))}
+}
+
+// Told notes what another host has in flight.
+func (f *Fleet) Told(host string, flights map[string]Flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forget(host)
+	f.others[host] = told{at: f.now(), flights: flights}
+	for id, flight := range flights {
+		if s, ok := f.targets[id]; ok {
+			s.told = s.told.Add(flight)
+		}
+	}
+}
+
+// forget drops what another host told.
+func (f *Fleet) forget(host string) {
+	for id, flight := range f.others[host].flights {
+		if s, ok := f.targets[id]; ok {
+			s.told = s.told.Sub(flight)
+		}
+	}
+	delete(f.others, host)
+}
+
+// forgetOld drops what was told too long ago.
+func (f *Fleet) forgetOld(now time.Duration) {
+	if now-f.swept < toldMemory/8 {
+		return
+	}
+	f.swept = now
+	for host, t := range f.others {
+		if now-t.at > toldMemory {
+			f.forget(host)
+		}
+	}
+}
+
+// Flights returns what this host has in flight.
+func (f *Fleet) Flights() map[string]Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]Flight{}
+	for id, s := range f.targets {
+		if s.flight != (Flight{}) {
+			out[id] = s.flight
+		}
+	}
+	return out
+}
