--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,124 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"sesamehill.example/sesamehill/internal/feed"
+)
+
+func TestFeed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "feed")
+}
+
+// source answers calls from a script, then waits for the end.
+type source struct {
+	mu    sync.Mutex
+	lines []string
+	asked []string
+	done  chan struct{}
+}
+
+func (s *source) next(ctx context.Context, call string) (string, error) {
+	s.mu.Lock()
+	s.asked = append(s.asked, call)
+	if len(s.lines) == 0 {
+		if s.done != nil {
+			close(s.done)
+			s.done = nil
+		}
+		s.mu.Unlock()
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	line := s.lines[0]
+	s.lines = s.lines[1:]
+	s.mu.Unlock()
+	return line, nil
+}
+
+func (s *source) List(ctx context.Context, _ string) ([]feed.Row, uint64, error) {
+	line, err := s.next(ctx, "list")
+	return parse(line, err)
+}
+
+func (s *source) Changes(ctx context.Context, table string, after uint64, _ time.Duration) ([]feed.Row, uint64, error) {
+	line, err := s.next(ctx, fmt.Sprint("changes after ", after))
+	if line == "gone" {
+		return nil, 0, &feed.GoneError{Table: table, After: after}
+	}
+	return parse(line, err)
+}
+
+// parse reads VERSION KEY... or "down".
+func parse(line string, err error) ([]feed.Row, uint64, error) {
+	if err != nil {
+		return nil, 0, err
+	}
+	if line == "down" {
+		return nil, 0, errors.New("the store is down")
+	}
+	fields := strings.Fields(line)
+	var version uint64
+	if _, err := fmt.Sscan(fields[0], &version); err != nil {
+		return nil, 0, err
+	}
+	var rows []feed.Row
+	for _, k := range fields[1:] {
+		rows = append(rows, feed.Row{Key: k, Version: version})
+	}
+	return rows, version, nil
+}
+
+// recorder notes what a handler hears.
+type recorder struct{ heard []string }
+
+func (r *recorder) Listed(rows []feed.Row)  { r.heard = append(r.heard, "listed "+keys(rows)) }
+func (r *recorder) Changed(rows []feed.Row) { r.heard = append(r.heard, "changed "+keys(rows)) }
+func (r *recorder) Lost(error)              { r.heard = append(r.heard, "lost") }
+func (r *recorder) Regained(time.Duration)  { r.heard = append(r.heard, "regained") }
+
+func keys(rows []feed.Row) string {
+	var out []string
+	for _, r := range rows {
+		out = append(out, r.Key)
+	}
+	return strings.Join(out, " ")
+}
+
+// Guards against changes that are missed after a gap, and against a table that
+// goes back to an older state.
+var _ = Describe("a watch", func() {
+	archive, err := txtar.ParseFile("testdata/watch.txtar")
+	if err != nil {
+		panic(err)
+	}
+	for _, f := range archive.Files {
+		It(f.Name, func() {
+			script, want, _ := strings.Cut(string(f.Data), "=>\n")
+			done := make(chan struct{})
+			s := &source{lines: strings.Split(strings.TrimSpace(script), "\n"), done: done}
+			r := &recorder{}
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_ = feed.NewWatch(s, "t", r).Run(ctx)
+			}()
+			Eventually(done, "5s").Should(BeClosed())
+			cancel()
+			<-ended
+			Expect(strings.Join(append(r.heard, s.asked[len(s.asked)-1]), "\n")).To(Equal(strings.TrimSpace(want)))
+		})
+	}
+})
