--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -107,6 +107,7 @@
 	return g.answer(ctx, j, c, reply, resp)
 }
 
+// errSlow ends an attempt at a target that has fallen silent.
 var errSlow = errors.New("the target has fallen silent")
 
 // watch ends an attempt at a silent target if the request may go on at another
@@ -151,17 +152,16 @@
 
 // unanswered decides about an attempt that brought no answer.
 func (g *Gate) unanswered(ctx context.Context, j *job, err error) (ending, fleet.Outcome) {
+	var unsent *wire.UnsentError
+	sent := !errors.As(err, &unsent)
 	slow := errors.Is(context.Cause(ctx), errSlow)
-	if ctx.Err() != nil && !slow {
-		j.attempts++
-		var unsent *wire.UnsentError
-		if errors.As(err, &unsent) {
-			j.attempts--
+	switch {
+	case ctx.Err() != nil && !slow:
+		if sent {
+			j.attempts++
 		}
 		return over{cause: context.Cause(ctx)}, fleet.Left
-	}
-	var unsent *wire.UnsentError
-	if errors.As(err, &unsent) && !slow {
+	case !sent && !slow:
 		return again{reason: err.Error()}, fleet.Unreachable
 	}
 	j.arrivals++
@@ -196,8 +196,7 @@
 		return g.repeat(j, "the answer is not signed"), fleet.Failed
 	}
 	j.attempts++
-	if r.Status >= http.StatusInternalServerError && j.route.Kind == site.Idempotent && j.attempts < j.route.Attempts &&
-		g.window(j.service.Name).Left(wire.Boot(), g.hosts()) > 0 && len(g.fleet.Serving(j.service.Name)) > len(j.tried)+1 {
+	if r.Status >= http.StatusInternalServerError && g.otherMayServe(j) {
 		return again{reason: "the target failed"}, fleet.Served
 	}
 	if j.route.Kind == site.Streaming && r.Status < http.StatusMultipleChoices {
@@ -206,6 +205,16 @@
 	return g.buffer(ctx, j, r, resp)
 }
 
+// otherMayServe reports whether a failed idempotent request has a chance at
+// another target.
+func (g *Gate) otherMayServe(j *job) bool {
+	if j.route.Kind != site.Idempotent || j.attempts >= j.route.Attempts {
+		return false
+	}
+	untried := len(g.fleet.Serving(j.service.Name)) - len(j.tried) - 1
+	return untried > 0 && g.window(j.service.Name).Left(wire.Boot(), g.hosts()) > 0
+}
+
 // send describes an attempt that starts now.
 func (g *Gate) send(j *job, c choice) Send {
 	s := Send{Call: j.Call, Target: c.Target, Left: j.end - wire.Boot(), LastEvent: j.last, State: c.state}
