Notice that a request crashed its target, and refuse it after the second time

Cause: an attempt that broke off counted as a crash only if the target was known to be down already, which is hardly ever so at that moment. The host now asks the target for a connection.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -52,15 +52,24 @@
 	defer cancel(nil)
 	id := j.ID + "/" + c.ID
 	if !g.poison.Begin(j.print, id, c.ID, time.Now()) {
-		c.attempt.End(fleet.Left)
-		j.tried[c.ID] = true
-		return again{reason: "another trial of a suspect request runs there"}
+		if _, refused := g.poison.Admit(j.print, time.Now()).(poison.Refuse); refused {
+			c.attempt.End(fleet.Left)
+			return broken{reason: "earlier runs of this request crashed their targets"}
+		}
+		// After a crash of many targets there are more suspects than targets for
+		// trials of their own; this attempt proves nothing then.
 	}
 	sent := wire.Boot()
 	out, outcome := g.exchange(ctx, cancel, j, c)
+	died := outcome == fleet.Failed && !g.reachable(context.WithoutCancel(ctx), c.Address)
+	if died {
+		c.attempt.End(fleet.Unreachable)
+	}
 	c.attempt.End(outcome)
 	defer g.Kick()
-	g.poison.End(id, crash(outcome, g.fleet, c.ID), time.Now())
+	if verdict := g.poison.End(id, result(outcome, died), time.Now()); verdict != poison.Fine {
+		j.log.Info("target crashed", zap.String("target", c.ID), zap.Bool("quarantined", verdict == poison.Quarantined))
+	}
 	g.Metrics.Time("attempt", wire.Boot()-sent)
 	if a, ok := out.(again); ok {
 		j.tried[c.ID] = true
@@ -73,15 +82,13 @@
 	return out
 }
 
-// crash tells the tracker of crashing requests how an attempt ended.
-func crash(o fleet.Outcome, f *fleet.Fleet, id string) poison.Result {
-	switch o {
-	case fleet.Served:
+// result tells the tracker of crashing requests how an attempt ended.
+func result(o fleet.Outcome, died bool) poison.Result {
+	switch {
+	case died:
+		return poison.Died
+	case o == fleet.Served:
 		return poison.Survived
-	case fleet.Failed:
-		if s, ok := f.Get(id); !ok || s.Down {
-			return poison.Died
-		}
 	}
 	return poison.Unused
 }
