Leave a stream that has begun only after a pause four times as long as allowed

A stream paused for 0.8 s while its engine read prompts, was taken from it, found no room elsewhere within two seconds and was cut, beside a change of the configuration. A stream that has begun also waits for room until its end now.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -41,6 +41,9 @@
 	// silentLimit is how long a target may send nothing to anybody here before a
 	// stream that can go on elsewhere leaves it.
 	silentLimit = 800 * time.Millisecond
+	// stallGaps bounds the pause of a stream that has begun, in multiples of the
+	// longest pause that is still on time.
+	stallGaps = 4
 	// stallGoals bounds the wait for the next event of a target at which nothing
 	// waits, in multiples of the route's goal.
 	stallGoals = 3
@@ -131,13 +134,14 @@
 		for pause.For(ctx, stallPeriod) == nil {
 			last := time.Duration(j.heard.Load())
 			quiet := wire.Boot() - max(begin, last)
-			dead := quiet > silentLimit && wire.Boot()-asked > silentLimit && c.attempt.Silent(silentLimit)
-			if dead && last < begin {
-				// No event came yet: the request may wait its turn there.
+			dead := false
+			if quiet > silentLimit && wire.Boot()-asked > silentLimit && c.attempt.Silent(silentLimit) {
+				// The request may wait its turn there, or pause while prompts are read.
 				asked = wire.Boot()
 				dead = !g.reachable(ctx, c.Address)
 			}
-			if dead || quiet > limit && c.attempt.Idle() {
+			stuck := last >= begin && quiet > max(stallGaps*j.route.Gap, silentLimit) && c.attempt.Silent(silentLimit)
+			if dead || stuck || quiet > limit && c.attempt.Idle() {
 				cancel(errSlow)
 				return
 			}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -166,6 +166,9 @@
 
 func (g *Gate) waitLimit(j *job) time.Duration {
 	left := max(j.end-wire.Boot(), 0)
+	if j.begun {
+		return left // a stream that goes on late is worth more than one that is cut
+	}
 	limit := time.Duration(waitShare * float64(left))
 	if j.route.Goal > 0 {
 		limit = min(limit, time.Duration(waitGoals*float64(j.route.Goal)))
