Work out the pace of stores once a decision; one test of what is still believed

Found by reading the change: each target that was weighed sorted the paces of all stores twice a part, four places repeated the condition under which a store is believed, the log line summed up the prompt twice, and CloseIdle was never called.

No change of behaviour intended.

--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -119,8 +119,9 @@
 		zap.Uint64("site", j.site.Version), zap.Int64("left", (j.end - wire.Boot()).Milliseconds()),
 	}
 	if c.state != nil {
+		w := work(j.Prompt)
 		fields = append(
-			fields, zap.String("subject", work(j.Prompt).Subject), zap.Int("shared", work(j.Prompt).Shared), zap.Int("weights", c.state.Version), zap.Int("resident", k.Resident),
+			fields, zap.String("subject", w.Subject), zap.Int("shared", w.Shared), zap.Int("weights", c.state.Version), zap.Int("resident", k.Resident),
 			zap.Int("stored", k.Stored), zap.Strings("fetch", c.state.Fetch), zap.Strings("save", c.state.Save),
 		)
 	}
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -335,6 +335,9 @@
 	return out
 }
 
+// believed reports whether what is known about a store still counts.
+func (s *store) believed(now time.Duration) bool { return s.heard != 0 && now-s.heard <= belief }
+
 func (s *store) add(h Held) {
 	if _, ok := s.held[h.Key]; !ok {
 		s.used += h.Tokens
--- a/internal/stash/garbage.go
+++ b/internal/stash/garbage.go
@@ -26,7 +26,7 @@
 	now := c.now()
 	var out []Garbage
 	for _, s := range c.order {
-		if s.heard == 0 || now-s.heard > belief {
+		if !s.believed(now) {
 			continue
 		}
 		g := Garbage{Address: s.Address, Epoch: s.epoch}
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -53,7 +53,13 @@
 // holding is a part and the stores that certainly hold it.
 type holding struct {
 	tokens int
-	stores []*store
+	stores []source
+}
+
+// source is a store and how much longer than expected its fetches take.
+type source struct {
+	*store
+	pace float64
 }
 
 // Look returns what is known about the shared parts of a prompt.
@@ -87,12 +93,12 @@
 		resident = h.tokens
 	}
 	for _, part := range h.parts {
-		s, factor := c.nearest(part.stores, t.Zone)
-		if s == nil {
+		s, factor, ok := c.nearest(part.stores, t.Zone)
+		if !ok {
 			continue
 		}
-		ms := c.partMs(s, part.tokens, factor, h.now)
-		if !worth(part.tokens, ms, c.paceOf(s, h.now)) {
+		ms := c.partMs(s, part.tokens, factor)
+		if !worth(part.tokens, ms, s.pace) {
 			continue
 		}
 		stored += part.tokens
@@ -102,8 +108,8 @@
 }
 
 // partMs is the expected time to fetch a part from a store.
-func (c *Catalog) partMs(s *store, tokens int, factor float64, now time.Duration) float64 {
-	return (float64(tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)) * c.paceOf(s, now)
+func (c *Catalog) partMs(s source, tokens int, factor float64) float64 {
+	return (float64(tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)) * s.pace
 }
 
 // worth reports whether a fetch is better than reading a part again, which costs
@@ -132,8 +138,8 @@
 	fetches, ms := false, 0.0
 	for i, part := range shared {
 		key := Key{scope, part.ID}
-		if s, factor := c.nearest(c.holders(key, now), t.Zone); s != nil {
-			if took := c.partMs(s, part.Tokens, factor, now); fetch && worth(part.Tokens, took, c.paceOf(s, now)) {
+		if s, factor, ok := c.nearest(c.holders(key, now), t.Zone); ok {
+			if took := c.partMs(s, part.Tokens, factor); fetch && worth(part.Tokens, took, s.pace) {
 				st.Fetch[i] = s.Address
 				fetches = true
 				ms += took
@@ -172,29 +178,27 @@
 }
 
 // holders returns the stores that certainly hold a part.
-func (c *Catalog) holders(k Key, now time.Duration) []*store {
-	var out []*store
+func (c *Catalog) holders(k Key, now time.Duration) []source {
+	var out []source
 	for _, s := range c.order {
-		if s.heard == 0 || now-s.heard > belief {
+		if !s.believed(now) {
 			continue
 		}
 		if _, ok := s.held[k]; ok {
-			out = append(out, s)
+			out = append(out, source{store: s, pace: c.paceOf(s, now)})
 		}
 	}
 	return out
 }
 
 // nearest returns the nearest of some stores and the factor of a transfer's time.
-func (c *Catalog) nearest(stores []*store, zone string) (*store, float64) {
-	var best *store
-	least := 0.0
+func (c *Catalog) nearest(stores []source, zone string) (best source, least float64, ok bool) {
 	for _, s := range stores {
-		if f := c.factor(s.Zone, zone); best == nil || f < least {
-			best, least = s, f
+		if f := c.factor(s.Zone, zone); !ok || f < least {
+			best, least, ok = s, f, true
 		}
 	}
-	return best, least
+	return best, least, ok
 }
 
 // keep returns the store that takes a part which no store holds; nil if one is
@@ -209,7 +213,7 @@
 		if c.paceOf(s, now) > slowPace {
 			continue
 		}
-		if s.heard == 0 || now-s.heard > belief || now < s.open || c.regions[s.Zone] != c.regions[zone] {
+		if !s.believed(now) || now < s.open || c.regions[s.Zone] != c.regions[zone] {
 			continue
 		}
 		if float64(s.used+tokens) > fullShare*float64(s.Tokens) {
--- a/internal/stash/relay.go
+++ b/internal/stash/relay.go
@@ -84,7 +84,7 @@
 		d.Clock = now.Milliseconds() + c.offset
 	}
 	for _, s := range c.order {
-		if s.heard == 0 || now-s.heard > belief {
+		if !s.believed(now) {
 			continue
 		}
 		u := Update{Address: s.Address, Epoch: s.epoch, Changes: s.changes, Age: (now - s.heard).Milliseconds() + 1}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -104,9 +104,6 @@
 	return resp, err
 }
 
-// CloseIdle closes the connections that serve no request.
-func (t *transport) CloseIdle() { t.base.CloseIdleConnections() }
-
 // Boot returns the time since the machine started, including the time for which
 // it was suspended.
 func Boot() time.Duration {
