--- a/cmd/sesamed/main.go
+++ b/cmd/sesamed/main.go
@@ -27,6 +27,7 @@
 )
 
 func main() {
+	catchHangups()
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&runCommand{}, "")
@@ -39,6 +40,12 @@
 	os.Exit(int(subcommands.Execute(signalled(context.Background()))))
 }
 
+// catchHangups keeps SIGHUP, which asks for a reload, from ending a host that
+// does not listen for it yet or no more.
+func catchHangups() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+}
+
 // signalled returns a context that the first SIGTERM or SIGINT cancels. The
 // second one has its default effect.
 func signalled(ctx context.Context) context.Context {
