Probe targets that vanished, and tell other hosts of them

Change: a target that took no connection is passed over until a probe of the host reaches it. Hosts name the targets that they cannot reach in their datagrams; one that hears of such a target, and has not heard the target itself for a second, passes it over until its own probe has decided. A host that names more than half of all targets is not believed, as its own link is the likelier cause.

Ruled out: longer pauses alone, which would also hold back targets that return.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,8 +41,14 @@
 	heard      time.Duration
 	risk       float64
 	riskAt     time.Duration
-	downUntil  time.Duration
-	downs      int
+	// downUntil is the end of the time in which the target is passed over, after
+	// downs failures in a row. A suspected one is so by the word of another host.
+	downUntil time.Duration
+	downs     int
+	suspected bool
+	probing   bool
+	// proven is when the target last took a connection of a probe.
+	proven time.Duration
 	// learned holds versions that replies stated, with the time.
 	learned   map[string]int
 	learnedAt time.Duration
@@ -284,7 +290,7 @@
 
 func (s *state) status(now time.Duration) Status {
 	st := Status{
-		Target: s.Target, Flight: s.flight, Heard: s.heard, Waiting: s.waiting, Risk: s.riskNow(now), Down: now < s.downUntil,
+		Target: s.Target, Flight: s.flight, Heard: s.heard, Waiting: s.waiting, Risk: s.riskNow(now), Down: s.down(now),
 	}
 	if s.learned != nil && now-s.learnedAt < versionGrace {
 		st.Versions = make(map[string]int, len(s.Versions))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -116,6 +116,59 @@
 		Expect(s.Down).To(BeTrue())
 	})
 
+	// Guards against requests that find out again and again, each with the time of
+	// a failed connection, that a target which vanished is still gone.
+	It("passes over an unreachable target until a probe reaches it", func() {
+		f.Begin("a", fleet.Flight{}).End(fleet.Unreachable)
+		Expect(f.Due()).To(BeEmpty())
+		now += 150 * time.Millisecond
+		due := f.Due()
+		Expect(due).To(ConsistOf(HaveField("ID", "a")))
+		now += 10 * time.Second
+		Expect(f.Due()).To(BeEmpty())
+		s, _ := f.Get("a")
+		Expect(s.Down).To(BeTrue())
+		f.Probed(due[0], false)
+		now += 400 * time.Millisecond
+		due = f.Due()
+		Expect(due).To(HaveLen(1))
+		f.Probed(due[0], true)
+		s, _ = f.Get("a")
+		Expect(s.Down).To(BeFalse())
+		now += 10 * time.Second
+		Expect(f.Due()).To(BeEmpty())
+	})
+
+	// Guards against a vanished zone that each of 77 hosts finds out for itself by
+	// the requests that it loses there.
+	It("probes a target that another host cannot reach", func() {
+		f.Suspect("other", []string{"a"})
+		s, _ := f.Get("a")
+		Expect(s.Down).To(BeTrue())
+		Expect(f.Unreachable()).To(BeEmpty()) // hearsay is not passed on
+		due := f.Due()
+		Expect(due).To(HaveLen(1))
+		f.Probed(due[0], false)
+		Expect(f.Unreachable()).To(Equal([]string{"a"}))
+	})
+
+	// Guards against a host that is cut off, or lies, and takes targets from all.
+	It("believes its own eyes before another host", func() {
+		f.Suspect("other", []string{"a", "b"})
+		s, _ := f.Get("a")
+		Expect(s.Down).To(BeFalse())
+		a := f.Begin("a", fleet.Flight{})
+		a.Heard()
+		f.Suspect("other", []string{"a"})
+		s, _ = f.Get("a")
+		Expect(s.Down).To(BeFalse())
+		f.Suspect("other", []string{"b"})
+		f.Probed(f.Due()[0], true)
+		f.Suspect("other", []string{"b"})
+		s, _ = f.Get("b")
+		Expect(s.Down).To(BeFalse())
+	})
+
 	// Guards against engines that are taken for old ones until the list, which
 	// lags, shows their new weights.
 	It("believes a reply about weights before the list shows them", func() {
--- a/internal/fleet/flight.go
+++ b/internal/fleet/flight.go
@@ -97,14 +97,14 @@
 	switch o {
 	case Served:
 		s.note(0, now)
-		s.downs, s.downUntil = 0, 0
+		if s.downs > 0 || s.suspected {
+			f.reachable(s, now)
+		}
 	case Failed:
 		s.note(1, now)
 	case Unreachable:
 		s.note(1, now)
-		s.downs++
-		s.downUntil = now + min(firstDown<<min(s.downs-1, 3), maxDown)
-		f.changed(Change{Target: s.Target, What: "unreachable"})
+		f.unreachable(s, now)
 	}
 }
 
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -138,6 +138,7 @@
 	t.Add("peers", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Peer, h.peerHandler()) })
 	t.Add("reload", h.reload)
 	t.Add("idle", h.sweepIdle)
+	t.Add("probes", h.probe)
 	t.Add("stores", h.pollers.Run)
 	t.Add("members", h.members.Run)
 	t.Add("hail", hail.New(
--- /dev/null
+++ b/internal/front/probe.go
@@ -0,0 +1,51 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// probePeriod is the time between two looks at which targets are due a probe.
+	probePeriod = 50 * time.Millisecond
+	// maxProbes bounds the probes under way.
+	maxProbes = 32
+)
+
+// probe connects to targets that are believed to be unreachable, until ctx ends.
+// Requests go there again once one of them takes a connection.
+func (h *Host) probe(ctx context.Context) error {
+	dialer := wire.Dialer()
+	var probes errgroup.Group
+	probes.SetLimit(maxProbes)
+	for pause.For(ctx, probePeriod) == nil {
+		for _, t := range h.fleet.Due() {
+			probes.Go(func() error {
+				conn, err := dialer.DialContext(ctx, "tcp", t.Address)
+				if err == nil {
+					_ = conn.Close() // nothing was sent
+				}
+				h.probed(ctx, t, err)
+				return nil
+			})
+		}
+	}
+	return probes.Wait()
+}
+
+func (h *Host) probed(ctx context.Context, t fleet.Target, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	h.gate.Metrics.Count("probe")
+	h.fleet.Probed(t, err == nil)
+	if err == nil {
+		h.gate.Kick()
+	}
+}
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -46,6 +46,8 @@
 	Named map[string]Named `cbor:"3,keyasint,omitempty"`
 	// Progress is that of the host that gives orders.
 	Progress *roll.Progress `cbor:"4,keyasint,omitempty"`
+	// Down are the targets that the host cannot reach.
+	Down []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Named is a weight version and how long ago it was named, in milliseconds.
@@ -130,7 +132,7 @@
 		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
 			return
 		}
-		m := Message{Host: h.host, Flights: h.fleet.Flights()}
+		m := Message{Host: h.host, Flights: h.fleet.Flights(), Down: h.fleet.Unreachable()}
 		if h.weights != nil {
 			m.Named, m.Progress = h.weights.Ages(), h.weights.Progress()
 		}
@@ -181,6 +183,7 @@
 			continue
 		}
 		h.fleet.Told(m.Host, m.Flights)
+		h.fleet.Suspect(m.Host, m.Down)
 		h.heard(m)
 		h.changed()
 	}
