Weigh six engines a request where hosts are many

Cause: 77 hosts hear of each other's calls every 0.5 to 0.9 s.

Change: from 32 hosts on, a host weighs the six engines that rank first for the subject and those that hold parts of it, and four times as many when none has room. Different subjects thus spread over different engines, and requests of one subject meet.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,8 +1,10 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
+	"slices"
 )
 
 // Distance is how far a target is from the host.
@@ -82,6 +84,10 @@
 	// small ones forever.
 	PatienceMs     float64
 	PatienceTokens float64
+	// Choices is the number of engines that are weighed for a request at first. If
+	// none has room, ChoicesGrowth times as many are. Zero stands for all.
+	Choices       int
+	ChoicesGrowth int
 	// RoomShare is the share of an engine's memory that calls may fill.
 	RoomShare float64
 	// SlotsOver is the number of calls that may wait at a target without a prompt.
@@ -95,10 +101,27 @@
 		WayMs: [3]float64{1, 4, 42}, ReadMs: 1.0 / 64, AgainMs: 1.0 / 30,
 		CallMs: 3, PlainMs: 8, DelayMs: 1, HomeMs: 60,
 		RiskMs: 1500, DownMs: 20000, StaleMs: 120,
-		UnreadLimit: 12000, PatienceMs: 1000, PatienceTokens: 40, RoomShare: 0.95, SlotsOver: 3,
+		UnreadLimit: 12000, PatienceMs: 1000, PatienceTokens: 40,
+		ChoicesGrowth: 4, RoomShare: 0.95, SlotsOver: 3,
 	}
 }
 
+// manyHosts is the number of hosts from which their news of each other is too old
+// to show which engines are idle, and oldNewsChoices the number of engines that
+// each weighs then.
+const (
+	manyHosts      = 32
+	oldNewsChoices = 6
+)
+
+// For returns the weights for a number of hosts that share the engines.
+func (k Weights) For(hosts int) Weights {
+	if hosts >= manyHosts {
+		k.Choices = oldNewsChoices
+	}
+	return k
+}
+
 // Choice is the outcome of a placement: At, Full or None.
 type Choice interface{ choice() }
 
@@ -115,18 +138,33 @@
 func (Full) choice() {}
 func (None) choice() {}
 
-// Prompt chooses the engine of a request with a prompt.
+// Prompt chooses the engine of a request with a prompt. It weighs the engines
+// that rank first for the subject and those that hold parts of it. All hosts see
+// the same engines idle for as long as their news of each other is old; if each
+// weighed all engines, they would send their next requests to the same ones.
 func Prompt(w Work, cs []Candidate, k Weights) Choice {
-	home := Home(w.Subject, cs)
-	return pick(cs, func(i int, c Candidate) (float64, bool) {
+	ranks := rank(w.Subject, cs)
+	weigh := func(i int, c Candidate) (float64, bool) {
 		missing := w.missing(c)
 		cost := k.base(c) + k.CallMs*float64(c.Calls) + float64(c.Unread)*k.ReadMs + c.FetchingMs + k.prompt(w, c)
 		cost += k.DelayMs * float64(c.Calls) * float64(missing) / 1000
-		if i != home {
+		if ranks[i] > 0 {
 			cost += k.HomeMs
 		}
 		return cost, k.fits(w, c, missing)
-	})
+	}
+	for n := k.Choices; n > 0 && n < len(cs); n *= max(k.ChoicesGrowth, 2) {
+		choice := pick(cs, func(i int, c Candidate) (float64, bool) {
+			if ranks[i] >= n && c.Resident == 0 {
+				return 0, false
+			}
+			return weigh(i, c)
+		})
+		if at, ok := choice.(At); ok {
+			return at
+		}
+	}
+	return pick(cs, weigh)
 }
 
 // Plain chooses the target of a request without a prompt.
@@ -137,6 +175,26 @@
 	})
 }
 
+// rank returns the place of each candidate in the order of a subject: those that
+// are up before the others, then by rendezvous hashing.
+func rank(subject string, cs []Candidate) []int {
+	order := make([]int, len(cs))
+	scores := make([]uint64, len(cs))
+	for i, c := range cs {
+		order[i] = i
+		scores[i] = Score(subject, c.ID) >> 1
+		if !c.Down {
+			scores[i] |= 1 << 63
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	ranks := make([]int, len(cs))
+	for place, i := range order {
+		ranks[i] = place
+	}
+	return ranks
+}
+
 // pick returns the cheapest candidate with room. A candidate that is down counts
 // only if there is no other.
 func pick(cs []Candidate, weigh func(i int, c Candidate) (cost float64, room bool)) Choice {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -161,3 +161,64 @@
 		Expect(backlog).To(BeNumerically("<", backlogSubject))
 	})
 })
+
+// newsReplay plays hosts that learn of each other's calls by news of a certain
+// age. It returns the share of requests that meet an engine without a free slot.
+func newsReplay(k place.Weights) float64 {
+	const (
+		hosts, engines, slots = 77, 140, 12
+		newsMs, callMs        = 750, 420
+		arrivals              = 20000
+	)
+	type call struct{ host, engine, end int }
+	r := rand.New(rand.NewPCG(3, 5))
+	own := [hosts][engines]int{}
+	news, total := [engines]int{}, [engines]int{}
+	var open []call
+	rejected, told := 0, 0
+	for n := range arrivals {
+		now := n // one a millisecond
+		kept := open[:0]
+		for _, c := range open {
+			if c.end > now {
+				kept = append(kept, c)
+				continue
+			}
+			own[c.host][c.engine]--
+			total[c.engine]--
+		}
+		open = kept
+		if now-told >= newsMs {
+			news, told = total, now
+		}
+		h := r.IntN(hosts)
+		cs := make([]place.Candidate, engines)
+		for i := range cs {
+			calls := max(news[i], own[h][i])
+			cs[i] = place.Candidate{ID: fmt.Sprint("engine-", i), Slots: slots, Room: 87000, Calls: calls, Tokens: calls * 6000, Unread: calls * 500}
+		}
+		w := place.Work{Subject: fmt.Sprint("subject-", r.IntN(2500)), Shared: 4000, Own: 1200}
+		at, ok := place.Prompt(w, cs, k).(place.At)
+		if !ok || total[at.Index] >= slots {
+			rejected++
+			continue
+		}
+		own[h][at.Index]++
+		total[at.Index]++
+		open = append(open, call{h, at.Index, now + callMs/2 + r.IntN(callMs)})
+	}
+	return float64(rejected) / arrivals
+}
+
+// Guards against hosts with old news of each other that all send to the engines
+// which were idle then: engines of 12 slots turned away one arrival in five while
+// others were idle.
+var _ = Describe("many hosts with old news of each other", func() {
+	It("spread their requests over engines by subject", func() {
+		narrow := newsReplay(place.Defaults().For(77))
+		wide := newsReplay(place.Defaults())
+		AddReportEntry("share without a slot", fmt.Sprintf("%.3f by subject, %.3f over all engines", narrow, wide))
+		Expect(wide).To(BeNumerically(">", 0.1))
+		Expect(narrow).To(BeNumerically("<", 0.02))
+	})
+})
