--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -153,7 +153,7 @@
 	})
 
 	// Guards against a host that is cut off, or lies, and takes targets from all.
-	It("believes its own eyes before another host", func() {
+	It("believes what it heard itself before another host", func() {
 		f.Suspect("other", []string{"a", "b"})
 		s, _ := f.Get("a")
 		Expect(s.Down).To(BeFalse())
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -143,17 +143,29 @@
 // the same engines idle for as long as their news of each other is old; if each
 // weighed all engines, they would send their next requests to the same ones.
 func Prompt(w Work, cs []Candidate, k Weights) Choice {
-	ranks := rank(w.Subject, cs)
+	home := Home(w.Subject, cs)
 	weigh := func(i int, c Candidate) (float64, bool) {
 		missing := w.missing(c)
 		cost := k.base(c) + k.CallMs*float64(c.Calls) + float64(c.Unread)*k.ReadMs + c.FetchingMs + k.prompt(w, c)
 		cost += k.DelayMs * float64(c.Calls) * float64(missing) / 1000
-		if ranks[i] > 0 {
+		if i != home {
 			cost += k.HomeMs
 		}
 		return cost, k.fits(w, c, missing)
 	}
-	for n := k.Choices; n > 0 && n < len(cs); n *= max(k.ChoicesGrowth, 2) {
+	if k.Choices > 0 && k.Choices < len(cs) {
+		if at, ok := k.pickFew(w.Subject, cs, weigh); ok {
+			return at
+		}
+	}
+	return pick(cs, weigh)
+}
+
+// pickFew returns the cheapest of the first Choices candidates of a subject that
+// has room, or of a number that grows until one has.
+func (k Weights) pickFew(subject string, cs []Candidate, weigh weigher) (At, bool) {
+	ranks := rank(subject, cs)
+	for n := k.Choices; n < len(cs); n *= max(k.ChoicesGrowth, 2) {
 		choice := pick(cs, func(i int, c Candidate) (float64, bool) {
 			if ranks[i] >= n && c.Resident == 0 {
 				return 0, false
@@ -161,10 +173,10 @@
 			return weigh(i, c)
 		})
 		if at, ok := choice.(At); ok {
-			return at
+			return at, true
 		}
 	}
-	return pick(cs, weigh)
+	return At{}, false
 }
 
 // Plain chooses the target of a request without a prompt.
@@ -195,9 +207,12 @@
 	return ranks
 }
 
+// weigher returns the cost of a candidate and whether it has room.
+type weigher func(i int, c Candidate) (cost float64, room bool)
+
 // pick returns the cheapest candidate with room. A candidate that is down counts
 // only if there is no other.
-func pick(cs []Candidate, weigh func(i int, c Candidate) (cost float64, room bool)) Choice {
+func pick(cs []Candidate, weigh weigher) Choice {
 	if len(cs) == 0 {
 		return None{}
 	}
