--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -26,7 +26,7 @@
 			for i := range size.hosts {
 				f.Told(fmt.Sprint("host-", i), told)
 			}
-			g := New(nil, f)
+			g := New(nil, f, WithHosts(func() int { return size.hosts }))
 			j := &job{
 				Call:    &Call{Prompt: &Prompt{Model: "m", In: 3000, Parts: []Part{{"aa", 100}, {"bb", 900}, {"cc", 2000}}}},
 				site:    &site.Site{},
