--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -27,11 +27,7 @@
 	for pause.For(ctx, probePeriod) == nil {
 		for _, t := range h.fleet.Due() {
 			probes.Go(func() error {
-				conn, err := dialer.DialContext(ctx, "tcp", t.Address)
-				if err == nil {
-					_ = conn.Close() // nothing was sent
-				}
-				h.probed(ctx, t, err)
+				h.probed(ctx, t, wire.Reach(ctx, dialer, t.Address))
 				return nil
 			})
 		}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -153,12 +153,7 @@
 // reachable reports whether a target takes a connection. A host that has only a
 // few calls at a target hears little of it, which says nothing about the target.
 func (g *Gate) reachable(ctx context.Context, address string) bool {
-	conn, err := g.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return ctx.Err() != nil
-	}
-	_ = conn.Close() // nothing was sent
-	return true
+	return wire.Reach(ctx, g.dialer, address) == nil || ctx.Err() != nil
 }
 
 // unanswered decides about an attempt that brought no answer.
--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/site"
 )
 
@@ -26,13 +27,14 @@
 			for i := range size.hosts {
 				f.Told(fmt.Sprint("host-", i), told)
 			}
-			g := New(nil, f, WithHosts(func() int { return size.hosts }))
+			g := New(nil, f)
 			j := &job{
 				Call:    &Call{Prompt: &Prompt{Model: "m", In: 3000, Parts: []Part{{"aa", 100}, {"bb", 900}, {"cc", 2000}}}},
 				site:    &site.Site{},
 				route:   &site.Route{Goal: time.Second},
 				service: &site.Service{Name: "llm", Engine: &site.Engine{Tokens: 1 << 20}},
 				end:     time.Hour, log: zap.NewNop(), tried: map[string]bool{},
+				costs: place.Defaults().For(size.hosts),
 			}
 			for b.Loop() {
 				v, ok := g.choose(j).(granted)
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -48,14 +48,14 @@
 
 func (g *Gate) best(j *job, cs []place.Candidate) place.Choice {
 	if j.Prompt == nil {
-		return place.Plain(cs, g.costs)
+		return place.Plain(cs, j.costs)
 	}
 
 	w := work(j.Prompt)
 	if j.waiting > 0 {
 		w.WaitedMs = float64(wire.Boot()-j.waiting) / float64(time.Millisecond)
 	}
-	return place.Prompt(w, cs, g.costs.For(g.hosts()))
+	return place.Prompt(w, cs, j.costs)
 }
 
 func (g *Gate) candidate(j *job, s fleet.Status, look map[string]Holdings) place.Candidate {
--- a/internal/gate/handle.go
+++ b/internal/gate/handle.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/site"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -52,6 +53,8 @@
 	last  string
 	// waited is the time spent without room, first the time to the first event.
 	waited, first time.Duration
+	// costs weigh the targets; they depend on the number of hosts.
+	costs place.Weights
 	// waiting is the boot time since which the request has waited; zero if it has
 	// not been without room.
 	waiting time.Duration
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -51,6 +51,7 @@
 
 // acquire returns a target with room, and waits for one if need be.
 func (g *Gate) acquire(ctx context.Context, j *job) verdict {
+	j.costs = g.costs.For(g.hosts())
 	w := &waiter{job: j, result: make(chan verdict, 1), item: queue.Item{
 		Arrived: j.Arrived, Goal: j.route.Goal, Priority: j.priority(),
 	}}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -143,7 +143,8 @@
 // the same engines idle for as long as their news of each other is old; if each
 // weighed all engines, they would send their next requests to the same ones.
 func Prompt(w Work, cs []Candidate, k Weights) Choice {
-	home := Home(w.Subject, cs)
+	scores := scoresOf(w.Subject, cs)
+	home := homeOf(cs, scores)
 	weigh := func(i int, c Candidate) (float64, bool) {
 		missing := w.missing(c)
 		cost := k.base(c) + k.CallMs*float64(c.Calls) + float64(c.Unread)*k.ReadMs + c.FetchingMs + k.prompt(w, c)
@@ -154,17 +155,17 @@
 		return cost, k.fits(w, c, missing)
 	}
 	if k.Choices > 0 && k.Choices < len(cs) {
-		if at, ok := k.pickFew(w.Subject, cs, weigh); ok {
+		if at, ok := k.pickFew(cs, scores, weigh); ok {
 			return at
 		}
 	}
 	return pick(cs, weigh)
 }
 
-// pickFew returns the cheapest of the first Choices candidates of a subject that
-// has room, or of a number that grows until one has.
-func (k Weights) pickFew(subject string, cs []Candidate, weigh weigher) (At, bool) {
-	ranks := rank(subject, cs)
+// pickFew returns the cheapest of the first Choices candidates by score that has
+// room, or of a number that grows until one has.
+func (k Weights) pickFew(cs []Candidate, scores []uint64, weigh weigher) (At, bool) {
+	ranks := rank(cs, scores)
 	for n := k.Choices; n < len(cs); n *= max(k.ChoicesGrowth, 2) {
 		choice := pick(cs, func(i int, c Candidate) (float64, bool) {
 			if ranks[i] >= n && c.Resident == 0 {
@@ -187,19 +188,19 @@
 	})
 }
 
-// rank returns the place of each candidate in the order of a subject: those that
-// are up before the others, then by rendezvous hashing.
-func rank(subject string, cs []Candidate) []int {
+// rank returns the place of each candidate: those that are up before the others,
+// then by score.
+func rank(cs []Candidate, scores []uint64) []int {
 	order := make([]int, len(cs))
-	scores := make([]uint64, len(cs))
+	keys := make([]uint64, len(cs))
 	for i, c := range cs {
 		order[i] = i
-		scores[i] = Score(subject, c.ID) >> 1
+		keys[i] = scores[i] >> 1
 		if !c.Down {
-			scores[i] |= 1 << 63
+			keys[i] |= 1 << 63
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(keys[b], keys[a]) })
 	ranks := make([]int, len(cs))
 	for place, i := range order {
 		ranks[i] = place
@@ -253,19 +254,30 @@
 
 // Home returns the index of the engine that every host prefers for a subject,
 // by rendezvous hashing over the engines that are up.
-func Home(subject string, cs []Candidate) int {
+func Home(subject string, cs []Candidate) int { return homeOf(cs, scoresOf(subject, cs)) }
+
+func homeOf(cs []Candidate, scores []uint64) int {
 	best, most := -1, uint64(0)
 	for i, c := range cs {
 		if c.Down {
 			continue
 		}
-		if s := Score(subject, c.ID); best < 0 || s > most {
+		if s := scores[i]; best < 0 || s > most {
 			best, most = i, s
 		}
 	}
 	return best
 }
 
+// scoresOf returns the rendezvous score of each candidate for a subject.
+func scoresOf(subject string, cs []Candidate) []uint64 {
+	scores := make([]uint64, len(cs))
+	for i, c := range cs {
+		scores[i] = Score(subject, c.ID)
+	}
+	return scores
+}
+
 // Score is the rendezvous score of a key at a member. It is the same on every
 // host.
 func Score(key, member string) uint64 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// Reach returns nil if an address takes a connection, on which nothing is sent.
+func Reach(ctx context.Context, d *net.Dialer, address string) error {
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // an unused connection
+	}
+	return err
+}
+
 // bound sets the time after which unacknowledged data ends a connection.
 func bound(c syscall.RawConn) error {
 	var failed error
