Let hosts of many learn of the stores from a hub of their own zone, less often

With 36 stores some store changes at any moment, so that a question was answered at once and followed by the next (45 a second and host), mostly to a hub in another zone.

Change: hubs are spread over the zones of a region, a host asks that of its own zone first, and asks at most every 100 ms. The progress of orders is followed slowly where many hosts do, as the holder's messages carry it; no host contends for the lease before it has read the rows of hosts.

Found by reading: state of replaced weights could be freed although a host that started between the last read of the hosts' rows and the naming still fetched it. The rows must now have been read since the naming. The three new tests fail on the code before.

--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -33,7 +33,10 @@
 	leaseTimeout = 500 * time.Millisecond
 	// contendPeriod is the time between two looks at who takes part in the lease.
 	contendPeriod = time.Second
-	freePeriod    = 300 * time.Millisecond
+	// slowProgressPace is the time between two looks at the progress where many
+	// hosts look.
+	slowProgressPace = 5 * time.Second
+	freePeriod       = 300 * time.Millisecond
 	// freeAfter is how long all engines have held the named weights before state
 	// of older ones is freed; it exceeds the longest fetch.
 	freeAfter = 4 * time.Second
@@ -84,10 +87,19 @@
 func (d *duty) add(t *tree.Tree) {
 	t.Add("lease", d.contend)
 	t.Add("orders", d.roller.Run)
-	t.Add("progress", feed.NewWatch(d.host.platform, dutyTable, d).Run)
+	t.Add("progress", feed.NewWatch(d.host.platform, dutyTable, d, feed.WithPace(d.progressPace)).Run)
 	t.Add("free", d.free)
 }
 
+// progressPace is the time between two looks at the progress. Where many hosts
+// follow it, they learn of it from the holder's messages first.
+func (d *duty) progressPace() time.Duration {
+	if d.host.members.count() > fewHosts {
+		return slowProgressPace
+	}
+	return 0
+}
+
 // contend takes part in the lease while this host is one of the contenders. A
 // host that is none any more gives the lease up.
 func (d *duty) contend(ctx context.Context) error {
@@ -219,10 +231,11 @@
 	if d.settled() {
 		return named
 	}
-	others, ok := d.host.members.others()
 	out := map[string]int{}
 	for model, version := range named {
 		age, behind := d.host.operator.Behind(model, version-1)
+		// A host that started before the naming may be missing in rows read before it.
+		others, ok := d.host.members.others(wire.Boot() - age)
 		if ok && behind && age != undatedAge && age > releaseAfter && d.allKnow(others, model, version) {
 			out[model] = version
 		}
--- a/internal/front/duty_test.go
+++ b/internal/front/duty_test.go
@@ -82,6 +82,17 @@
 		Expect(h.duty.unused()).To(BeEmpty())
 	})
 
+	// A host that started after the last read of the rows may still fetch it.
+	It("is kept while the hosts were not read since the naming", func() {
+		named(2, 6*time.Second)
+		acks("b", 2, 6*time.Second)
+		acks("c", 2, 6*time.Second)
+		h.members.heard = wire.Boot() - 7*time.Second
+		Expect(h.duty.unused()).To(BeEmpty())
+		h.members.heard = wire.Boot() - 5*time.Second
+		Expect(h.duty.unused()).To(HaveKeyWithValue("m", 2))
+	})
+
 	It("is kept for a host that knows only an older version", func() {
 		named(3, time.Minute)
 		acks("b", 3, time.Minute)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -59,7 +59,7 @@
 
 	mu   sync.Mutex
 	seen map[string]sighting
-	// heard is the boot time of the last read; zero before the first. Hosts are not
+	// heard is the boot time at which the last read began; zero before the first. Hosts are not
 	// missed while nothing can be read: a host that took itself for alone would
 	// claim every budget.
 	heard time.Duration
@@ -124,11 +124,11 @@
 }
 
 // others returns the other hosts that may be alive; false if the rows were not
-// read lately.
-func (m *members) others() ([]string, bool) {
+// read lately, or not since a boot time.
+func (m *members) others(since time.Duration) ([]string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.heard == 0 || wire.Boot()-m.heard > 2*maxMemberPeriod {
+	if m.heard == 0 || m.heard < since || wire.Boot()-m.heard > 2*maxMemberPeriod {
 		return nil, false
 	}
 	var names []string
@@ -143,22 +143,22 @@
 func (m *members) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
+	began := wire.Boot()
 	rows, _, err := m.host.platform.List(ctx, memberTable)
 	if err != nil {
 		m.host.log.Debug("rows of hosts not read", zap.Error(err))
 		return
 	}
-	now := wire.Boot()
 	for _, r := range rows {
 		var row member
 		if err := json.Unmarshal(r.Value, &row); err != nil || row.Host == "" {
 			m.host.log.Warn("row of a host not usable", zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		m.note(row, r.Version, now)
+		m.note(row, r.Version, began)
 	}
 	m.mu.Lock()
-	m.heard = now
+	m.heard = began
 	m.mu.Unlock()
 }
 
@@ -206,14 +206,35 @@
 	return near, far
 }
 
-// hubs returns the addresses of the hosts of the region that ask the stores, and
-// whether this host is one of them. There are none while few hosts are alive.
+// hubs returns the addresses of the hosts of the region that ask the stores, in
+// the order in which this host should learn from them, and whether this host is
+// one of them. There are none while few hosts are alive.
 func (m *members) hubs() (addresses []string, self bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.live()) <= directHosts {
 		return nil, true
 	}
+	chosen := m.regionHubs()
+	own := m.host.settings
+	if slices.ContainsFunc(chosen, func(s sighting) bool { return s.Host == own.Name }) {
+		return nil, true
+	}
+	slices.SortFunc(chosen, func(a, b sighting) int {
+		if near := cmp.Compare(bit(a.Zone != own.Zone), bit(b.Zone != own.Zone)); near != 0 {
+			return near
+		}
+		return cmp.Compare(place.Score(own.Name, b.Host), place.Score(own.Name, a.Host))
+	})
+	for _, s := range chosen {
+		addresses = append(addresses, s.Peer)
+	}
+	return addresses, false
+}
+
+// regionHubs returns the hubs of this host's region. They are spread over its
+// zones, so that most hosts learn from one of their own zone.
+func (m *members) regionHubs() []sighting {
 	var ranked []sighting
 	for _, s := range m.seen {
 		if !m.gone(s) && m.host.settings.Zones[s.Zone] == m.host.settings.Region {
@@ -223,20 +244,33 @@
 	slices.SortFunc(ranked, func(a, b sighting) int {
 		return cmp.Compare(place.Score(hubKey, b.Host), place.Score(hubKey, a.Host))
 	})
-	for _, s := range ranked[:min(hubs, len(ranked))] {
-		if s.Host == m.host.settings.Name {
-			return nil, true
-		}
-		addresses = append(addresses, s.Peer)
+	// turn is a host's rank within its zone.
+	turn := make(map[string]int, len(ranked))
+	inZone := map[string]int{}
+	for _, s := range ranked {
+		turn[s.Host] = inZone[s.Zone]
+		inZone[s.Zone]++
 	}
-	return addresses, false
+	slices.SortStableFunc(ranked, func(a, b sighting) int { return cmp.Compare(turn[a.Host], turn[b.Host]) })
+	return ranked[:min(hubs, len(ranked))]
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // contends reports whether this host should try to hold the lease: only a few
-// hosts do, so that the platform's calls do not grow with their number.
+// hosts do, so that the platform's calls do not grow with their number. None does
+// before it has read the rows, which needs the same store as the lease.
 func (m *members) contends() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.heard == 0 {
+		return false
+	}
 	names := m.live()
 	if len(names) <= contenders || !slices.Contains(names, m.host.settings.Name) {
 		return true
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -62,6 +62,33 @@
 		Expect(direct).To(Equal(hubs))
 		Expect(contending).To(Equal(contenders))
 	})
+
+	// Guards against news of the stores that go from zone to zone once for each host.
+	It("names a host of each zone that asks the stores, the own zone's first", func() {
+		zones := []string{"sul-a", "sul-b", "sul-c"}
+		for i, name := range strings.Split("abcdefghijklmnopqrstuvwxyz", "") {
+			zone := zones[i%len(zones)]
+			m.host.settings.Zones[zone] = "sul"
+			m.seen[name] = sighting{member: member{Host: name, Zone: zone, Peer: zone + "/" + name}, at: time.Minute}
+		}
+		m.heard = time.Minute
+		direct := map[string]int{}
+		for name, s := range m.seen {
+			m.host.settings.Name, m.host.settings.Zone = name, s.Zone
+			addresses, self := m.hubs()
+			if self {
+				direct[s.Zone]++
+				continue
+			}
+			Expect(addresses).To(HaveLen(hubs))
+			Expect(addresses[0]).To(HavePrefix(s.Zone + "/"))
+		}
+		Expect(direct).To(Equal(map[string]int{"sul-a": 1, "sul-b": 1, "sul-c": 1}))
+	})
+
+	It("contends for no lease before the rows were read", func() {
+		Expect(m.contends()).To(BeFalse())
+	})
 })
 
 // Guards against settings that start a host in a state nobody asked for.
--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/pause"
-	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/stash"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -22,6 +21,9 @@
 	hubs = 3
 	// roleFor is the time between two looks at which hosts ask the stores.
 	roleFor = time.Second
+	// learnPace is the least time between two questions to a hub: some store changes
+	// at nearly any time, and each answer would otherwise lead to the next question.
+	learnPace = 100 * time.Millisecond
 )
 
 // pollers learns what the stores hold: from the stores themselves, or from hosts
@@ -61,7 +63,11 @@
 			}
 			continue
 		}
+		began := wire.Boot()
 		p.learn(ctx, hubs)
+		if pause.For(ctx, max(began+learnPace-wire.Boot(), 0)) != nil {
+			break
+		}
 	}
 	p.group.Wait()
 	return nil //nolint:nilerr // the end of ctx is the normal end
@@ -90,7 +96,7 @@
 // learn asks one hub after the other until one answers.
 func (p *pollers) learn(ctx context.Context, hubs []string) {
 	p.mu.Lock()
-	hub := hubs[(p.failed+int(place.Score(p.host.settings.Name, "hub")%uint64(len(hubs))))%len(hubs)]
+	hub := hubs[p.failed%len(hubs)]
 	p.mu.Unlock()
 	began := wire.Boot()
 	d, err := p.ask(ctx, hub)
