Add baseline rules of placement, chosen by a setting

Prefix hashing, least loaded and round robin can replace the product's own rule, so that both can be measured under the same load. The default is unchanged.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -114,7 +114,7 @@
 		p.Codec(), h.fleet, gate.WithLog(h.log), gate.WithAllowance(s.allowance()),
 		gate.WithDistance(s.distance), gate.WithPoison(h.poison), gate.WithHosts(h.hosts),
 		gate.WithWeights(h), gate.WithKeeper(h.stash),
-		gate.WithStaleLimit(s.staleLimit()),
+		gate.WithStaleLimit(s.staleLimit()), gate.WithPolicy(s.policy()),
 	)
 	h.duty = newDuty(h)
 	h.members = newMembers(h)
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -130,6 +130,7 @@
 		Entry("a zone that is not listed", `zone = "sul-a"`, `zone = "x"`, "zone"),
 		Entry("an address without a port", `front = "10.0.0.2:80"`, `front = "10.0.0.2"`, "front"),
 		Entry("an unknown level", `level = "info"`, `level = "loud"`, "level"),
+		Entry("an unknown placement", `level = "info"`, "level = \"info\"\nplacement = \"best\"", "placement"),
 		Entry("no window", "window = 10", "window = 0", "window"),
 		Entry("no grace", "grace = 8", "grace = 0", "grace"),
 		Entry("a value that is missing", `name = "a"`, `name = null`, "cannot be decoded"),
--- a/internal/front/reload.go
+++ b/internal/front/reload.go
@@ -71,6 +71,9 @@
 	h.setSettings(next)
 	h.gate.SetAllowance(next.allowance())
 	h.gate.SetStaleLimit(next.staleLimit())
+	if next.Placement != old.Placement {
+		h.gate.SetPolicy(next.policy())
+	}
 	if err := h.level(next.Level); err != nil {
 		h.log.Error("log level not set", zap.String("level", next.Level), zap.Error(err))
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -44,6 +44,9 @@
 	Ratio  float64 `toml:"ratio"`
 	Slack  float64 `toml:"slack"`
 	Window float64 `toml:"window"`
+	// Placement is the rule that places requests with a prompt; empty stands for the
+	// product's own, the others are baselines.
+	Placement string `toml:"placement,omitempty"`
 	// Zones maps each availability zone to its region.
 	Zones map[string]string `toml:"zones"`
 }
@@ -113,12 +116,24 @@
 	case s.Lease < 0:
 		return &SettingsError{Field: "lease", Problem: "is negative"}
 	}
+	if _, err := place.ParsePolicy(s.Placement); err != nil {
+		return &SettingsError{Field: "placement", Problem: "is not usable: " + err.Error()}
+	}
 	if _, err := zap.ParseAtomicLevel(s.Level); err != nil {
 		return &SettingsError{Field: "level", Problem: fmt.Sprintf("%q is no log level", s.Level)}
 	}
 	return nil
 }
 
+// policy returns the rule of placement; Check has accepted its name.
+func (s Settings) policy() place.Policy {
+	p, err := place.ParsePolicy(s.Placement)
+	if err != nil {
+		return place.Cost
+	}
+	return p
+}
+
 func (s Settings) allowance() retry.Allowance {
 	return retry.Allowance{
 		Ratio: s.Ratio, Fixed: s.Slack, Window: time.Duration(s.Window * float64(time.Second)),
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -55,7 +55,7 @@
 	if j.waiting > 0 {
 		w.WaitedMs = float64(wire.Boot()-j.waiting) / float64(time.Millisecond)
 	}
-	return place.Prompt(w, cs, j.costs)
+	return g.rule.Load().Prompt(w, cs, j.costs)
 }
 
 func (g *Gate) candidate(j *job, s fleet.Status, look map[string]Holdings) place.Candidate {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,6 +38,9 @@
 // WithLog sets the log of decisions.
 func WithLog(l *zap.Logger) Option { return func(g *Gate) { g.log = l } }
 
+// WithPolicy sets the rule that places requests with a prompt.
+func WithPolicy(p place.Policy) Option { return func(g *Gate) { g.SetPolicy(p) } }
+
 // WithPoison sets the tracker of requests that crash their targets.
 func WithPoison(t *poison.Tracker) Option { return func(g *Gate) { g.poison = t } }
 
@@ -60,6 +63,7 @@
 	distance  func(zone string) place.Distance
 	hosts     func() int
 	costs     place.Weights
+	rule      atomic.Pointer[place.Rule]
 	// staleLimit is the time from the naming of weights after which nothing is
 	// sent to engines with older ones.
 	staleLimit atomic.Int64
@@ -93,6 +97,7 @@
 		kept: wire.NewTransport(wire.Kept), fresh: wire.NewTransport(wire.Fresh), dialer: wire.Dialer(),
 		windows: map[string]*retry.Window{}, waiting: map[string][]*waiter{}, Metrics: newMetrics(), poison: poison.New(),
 	}
+	g.SetPolicy(place.Cost)
 	for _, o := range opts {
 		o(g)
 	}
@@ -112,6 +117,9 @@
 	}
 }
 
+// SetPolicy changes the rule that places requests with a prompt.
+func (g *Gate) SetPolicy(p place.Policy) { g.rule.Store(place.NewRule(p)) }
+
 // SetStaleLimit changes how long requests may begin on older weights.
 func (g *Gate) SetStaleLimit(d time.Duration) { g.staleLimit.Store(int64(d)) }
 
--- /dev/null
+++ b/internal/place/policy_test.go
@@ -0,0 +1,79 @@
+package place_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/place"
+)
+
+// Guards against baselines that are weaker than what their names say, which would
+// make the product look better than it is.
+var _ = Describe("a policy", func() {
+	engines := func(calls ...int) []place.Candidate {
+		out := make([]place.Candidate, 0, len(calls))
+		for i, n := range calls {
+			out = append(out, place.Candidate{ID: fmt.Sprint("e", i), Calls: n, Slots: 4})
+		}
+		return out
+	}
+	chosen := func(r *place.Rule, subject string, cs []place.Candidate) string {
+		switch c := r.Prompt(place.Work{Subject: subject}, cs, place.Defaults()).(type) {
+		case place.At:
+			return cs[c.Index].ID
+		case place.Full:
+			return "full"
+		}
+		return "none"
+	}
+
+	It("of turns takes each engine once a round and leaves out full ones", func() {
+		r := place.NewRule(place.Turns)
+		seen := map[string]int{}
+		for range 6 {
+			seen[chosen(r, "s", engines(0, 0, 0))]++
+		}
+		Expect(seen).To(Equal(map[string]int{"e0": 2, "e1": 2, "e2": 2}))
+		for range 6 {
+			Expect(chosen(r, "s", engines(4, 0, 4))).To(Equal("e1"))
+		}
+	})
+
+	It("of the least loaded compares shares of slots", func() {
+		cs := engines(3, 2)
+		cs[0].Slots = 12
+		Expect(chosen(place.NewRule(place.Least), "s", cs)).To(Equal("e0"))
+	})
+
+	It("of prefixes stays with one engine while it has room", func() {
+		r := place.NewRule(place.Prefix)
+		home := chosen(r, "s", engines(0, 0, 0, 0))
+		Expect(chosen(r, "s", engines(3, 3, 3, 3))).To(Equal(home))
+		full := engines(0, 0, 0, 0)
+		for i := range full {
+			if full[i].ID == home {
+				full[i].Calls = 4
+			}
+		}
+		Expect(chosen(r, "s", full)).NotTo(Equal(home))
+	})
+
+	It("waits while all are full and finds none where all are down", func() {
+		for _, p := range place.Policies()[1:] {
+			r := place.NewRule(p)
+			Expect(chosen(r, "s", engines(4, 4))).To(Equal("full"))
+			down := engines(0)
+			down[0].Down = true
+			Expect(chosen(r, "s", down)).To(Equal("none"))
+			Expect(chosen(r, "s", nil)).To(Equal("none"))
+		}
+	})
+
+	It("has a name that exists", func() {
+		Expect(place.ParsePolicy("")).To(Equal(place.Cost))
+		_, err := place.ParsePolicy("best")
+		Expect(err).To(MatchError(ContainSubstring("cost prefix least turns")))
+	})
+})
