Play load patterns against hosts that run as processes

sesamectl load -pattern FILE starts hosts of sesamed serve, with stand-ins for engines, the platform's store and callers in its own process, once for each rule of placement, and compares what callers got as a table, JSON or plot. The seed determines all arrivals.

--- a/cmd/sesamectl/load.go
+++ b/cmd/sesamectl/load.go
@@ -34,6 +34,7 @@
 	deadline time.Duration
 	json     bool
 	planOptions
+	replayOptions
 }
 
 func (*loadCommand) Name() string     { return "load" }
@@ -54,8 +55,16 @@
 	sent between regions meanwhile. An answer counts as complete only if no token is missing
 	and its end marker arrived. The exit code is 1 if any request failed.
 
+	With -pattern, it plays the load pattern in a file instead: it starts hosts
+	("sesamed serve") as processes, with stand-ins for engines and the platform,
+	once for each of -policies, and compares what callers got: answers in time,
+	late, refused and failed, times, shared tokens that were read again, bytes
+	between zones and regions. The seed determines the arrivals.
+
 	Example, with "sesamed demo" running:
 	  SESAMECTL_KEYS=keeper-key,borough-key sesamectl load -rate 20 -duration 30s -grow 32 -first 256
+	Example with a pattern:
+	  sesamectl load -pattern internal/trial/testdata/burst.toml -policies cost,prefix,least,turns -plot burst.svg
 `
 }
 
@@ -70,6 +79,11 @@
 	f.IntVar(&c.inflight, "inflight", 4000, "largest `NUMBER` of open requests; more are counted as errors")
 	f.DurationVar(&c.deadline, "deadline", time.Minute, "longest `TIME` of one request")
 	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.StringVar(&c.pattern, "pattern", "", "play the load pattern in `FILE` (TOML) against hosts that are started for it")
+	f.StringVar(&c.policies, "policies", "cost", "with -pattern: `RULES` of placement to compare: cost, prefix, least, turns")
+	f.StringVar(&c.program, "sesamed", "", "with -pattern: `PATH` of sesamed; default: beside this program, then in PATH")
+	f.StringVar(&c.plot, "plot", "", "with -pattern: write the worth by second to `FILE` (svg, png or pdf)")
+	f.StringVar(&c.keep, "keep", "", "with -pattern: leave settings and logs of the hosts in `DIR`")
 	f.Uint64Var(&c.Seed, "seed", 1, "`SEED` of times and prompts")
 	f.Float64Var(&c.Rate, "rate", 10, "mean `NUMBER` of requests a second")
 	f.DurationVar(&c.Duration, "duration", 10*time.Second, "`TIME` during which requests are sent")
@@ -81,6 +95,9 @@
 }
 
 func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.pattern != "" && f.NArg() == 0 {
+		return status(c.replay(ctx))
+	}
 	keys, err := c.check(f)
 	if err != nil {
 		return status(err)
