Number the changes of all stores together, and tell hosts only the changed ones

A host names its position for each store in each question, and gets a line for each store in each answer; both grow with the stores (1.3 and 1.5 KB at 36 stores).

Change: one number counts the changes of all stores, so that a question is a few bytes; an answer names the stores that changed, and every 350 ms all, which keeps those believed that do not change. A store that was not known for a time is told whole.

--- a/internal/front/peer.go
+++ b/internal/front/peer.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"sesamehill.example/sesamehill/internal/stash"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
 const (
@@ -21,14 +22,19 @@
 	peerWait    = 200 * time.Millisecond
 	peerTimeout = 900 * time.Millisecond
 	maxDigest   = 32 << 20
-	maxCursors  = 64 << 10
+	maxCursor   = 1 << 10
+	// refreshPace is the time between two answers about all stores; it keeps those
+	// believed that do not change.
+	refreshPace = 350 * time.Millisecond
 	cborType    = "application/cbor"
 )
 
 // ask returns what a host knows about the stores beyond what this one does.
 func (p *pollers) ask(ctx context.Context, peer string) (stash.Digest, error) {
 	var d stash.Digest
-	b, err := cbor.Marshal(p.host.stash.Cursors())
+	known := p.host.stash.Cursor()
+	known.Brief = wire.Boot()-p.refreshed < refreshPace
+	b, err := cbor.Marshal(known)
 	if err != nil {
 		return d, errors.Trace(err)
 	}
@@ -51,19 +57,25 @@
 	if err != nil {
 		return d, errors.Trace(err)
 	}
-	return d, errors.Trace(cbor.Unmarshal(b, &d))
+	if err := cbor.Unmarshal(b, &d); err != nil {
+		return d, errors.Annotatef(err, "decode the digest of the host at %s; run the same version on all hosts", peer)
+	}
+	if !known.Brief {
+		p.refreshed = wire.Boot()
+	}
+	return d, nil
 }
 
 // tell answers hosts that ask what the stores hold.
 func (h *Host) tell(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxCursors))
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxCursor))
 	if err != nil {
-		http.Error(w, "the cursors cannot be read", http.StatusBadRequest)
+		http.Error(w, "the cursor cannot be read", http.StatusBadRequest)
 		return
 	}
-	var known map[string]stash.Cursor
+	var known stash.Cursor
 	if err := cbor.Unmarshal(b, &known); err != nil {
-		http.Error(w, "the cursors cannot be decoded; send a map of stores", http.StatusBadRequest)
+		http.Error(w, "the cursor cannot be decoded; send that of the last digest", http.StatusBadRequest)
 		return
 	}
 	h.stash.Wait(r.Context(), known, peerWait)
--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -31,6 +31,8 @@
 type pollers struct {
 	host   *Host
 	client *http.Client
+	// refreshed is the boot time of the last answer about all stores.
+	refreshed time.Duration
 
 	mu      sync.Mutex
 	ctx     context.Context //nolint:containedctx // pollers start whenever the site changes
--- a/internal/stash/bench_test.go
+++ b/internal/stash/bench_test.go
@@ -36,7 +36,7 @@
 		b.Run(fmt.Sprint("all-", n), func(b *testing.B) {
 			size := 0
 			for b.Loop() {
-				out, err := cbor.Marshal(c.Digest(nil))
+				out, err := cbor.Marshal(c.Digest(stash.Cursor{}))
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -44,8 +44,8 @@
 			}
 			b.ReportMetric(float64(size), "B/digest")
 		})
-		at := c.Digest(nil).Updates[0]
-		known := map[string]stash.Cursor{near: {Epoch: at.Epoch, Changes: at.Changes}}
+		at := c.Digest(stash.Cursor{})
+		known := stash.Cursor{Source: at.Source, Change: at.Change, Brief: true}
 		c.Heard(near, stash.Events{Epoch: 1, Next: 2, Events: []stash.Event{{Held: held[0], Added: true}}}, wire.Boot()+time.Second)
 		b.Run(fmt.Sprint("change-", n), func(b *testing.B) {
 			size := 0
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -82,16 +82,20 @@
 	held        map[Key]int
 	used        int
 	pace        pace
-	// log holds the newest changes, of which the last has the number changes. The
-	// numbers are this host's own.
-	log     []Event
-	changes uint64
-	// learned is how far the host knows the store from another host.
-	learned Cursor
+	// log holds all changes with a number above since. The numbers are this
+	// catalog's own and count the changes of all stores.
+	log   []change
+	since uint64
 	// saving holds parts whose save was asked for, with the time.
 	saving map[Key]time.Duration
 }
 
+// change is an event with its number.
+type change struct {
+	Event
+	number uint64
+}
+
 // Option changes a default of NewCatalog.
 type Option func(*Catalog)
 
@@ -122,6 +126,11 @@
 	// sends holds when a subject was last sent to a target.
 	sends  *lru.LRU[sendKey, time.Duration]
 	engine engineRates
+	// source tells the numbers of this catalog from those of another one, changes is
+	// the last number, and learned is how far this catalog follows another.
+	source  uint64
+	changes uint64
+	learned Cursor
 	// changed is closed at the next change of what the stores hold.
 	changed chan struct{}
 }
@@ -141,7 +150,7 @@
 	}
 	c := &Catalog{
 		now: wire.Boot, log: zap.NewNop(), use: always, regions: regions, stores: map[string]*store{}, sends: sends,
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), source: rand.Uint64(),
 	}
 	for _, o := range opts {
 		o(c)
@@ -170,9 +179,8 @@
 		}
 		c.stores[v.Store.Address] = &store{
 			Store: *v.Store, name: v.Name, held: map[Key]int{}, saving: map[Key]time.Duration{},
-			// A random beginning keeps the cursors of two runs of a host apart.
-			changes: rand.Uint64() >> 1,
 		}
+		c.learned = Cursor{} // what another host knows of the store came too early
 	}
 	for address := range c.stores {
 		if !known[address] {
@@ -207,7 +215,18 @@
 	c.clock(l.Clock)
 	c.epoch(s, l.Epoch)
 	c.apply(s, s.difference(l.Held))
-	s.next, s.heard = l.Next, began
+	c.hear(s, began)
+	s.next = l.Next
+}
+
+// hear notes when a store was heard. Hosts that follow this catalog get a store
+// whole that was not known for a time.
+func (c *Catalog) hear(s *store, at time.Duration) {
+	if s.heard == 0 {
+		c.changes++
+		s.log, s.since = nil, c.changes
+	}
+	s.heard = max(s.heard, at)
 }
 
 // difference returns the changes from what is known to what a list says.
@@ -239,10 +258,13 @@
 			s.add(e.Held)
 		}
 	}
-	s.changes += uint64(len(events))
-	s.log = append(s.log, events...)
+	for _, e := range events {
+		c.changes++
+		s.log = append(s.log, change{Event: e, number: c.changes})
+	}
 	if over := len(s.log) - maxLog; over > 0 {
-		s.log = append([]Event(nil), s.log[over:]...)
+		s.since = s.log[over-1].number
+		s.log = append([]change(nil), s.log[over:]...)
 	}
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -262,7 +284,8 @@
 		return false
 	}
 	c.apply(s, e.Events)
-	s.next, s.heard = e.Next, began
+	c.hear(s, began)
+	s.next = e.Next
 	return true
 }
 
@@ -290,7 +313,8 @@
 	}
 	s.epoch, s.heard = epoch, 0
 	s.held, s.used, s.saving = map[Key]int{}, 0, map[Key]time.Duration{}
-	s.log, s.learned = nil, Cursor{}
+	c.changes++
+	s.log, s.since = nil, c.changes
 }
 
 // clock notes the targets' clock. An answer takes time, so that the offset is
--- a/internal/stash/stash_test.go
+++ b/internal/stash/stash_test.go
@@ -148,10 +148,10 @@
 	It("tells another host what changed, and everything after a gap", func() {
 		listed(c, 1, "aa")
 		other := described()
-		other.Import(c.Digest(other.Cursors()), now)
+		other.Import(c.Digest(other.Cursor()), now)
 		Expect(other.Plan(prompt, scope, 1, engine).Fetch[0]).To(Equal(near))
 		c.Heard(near, stash.Events{Epoch: 1, Next: 2, Events: []stash.Event{{Held: held("bb")[0], Added: true}}}, now)
-		d := c.Digest(other.Cursors())
+		d := c.Digest(other.Cursor())
 		Expect(d.Updates[0].Full).To(BeFalse())
 		Expect(d.Updates[0].Events).To(HaveLen(1))
 		other.Import(d, now)
@@ -160,14 +160,50 @@
 			e := stash.Event{Held: held(fmt.Sprint("p", i))[0], Added: true}
 			c.Heard(near, stash.Events{Epoch: 1, Next: uint64(3 + i), Events: []stash.Event{e}}, now)
 		}
-		Expect(c.Digest(other.Cursors()).Updates[0].Full).To(BeTrue())
+		Expect(c.Digest(other.Cursor()).Updates[0].Full).To(BeTrue())
+	})
+
+	// Guards against answers that name every store although one has changed, and
+	// against stores that are no longer believed because they do not change.
+	It("names only changed stores to a host that asks for these, and all to others", func() {
+		listed(c, 1, "aa")
+		c.Listed(far, stash.Listing{Epoch: 1, Next: 1}, now)
+		other := described()
+		other.Import(c.Digest(other.Cursor()), now)
+		known := other.Cursor()
+		known.Brief = true
+		Expect(c.Digest(known).Updates).To(BeEmpty())
+		c.Heard(near, stash.Events{Epoch: 1, Next: 2, Events: []stash.Event{{Held: held("bb")[0], Added: true}}}, now)
+		Expect(c.Digest(known).Updates).To(HaveLen(1))
+		known.Brief = false
+		Expect(c.Digest(known).Updates).To(HaveLen(2))
+	})
+
+	// Guards against parts that a host goes on believing after it missed the restart
+	// of a store, or after it turned to another host.
+	It("tells everything after a restart of the store, and to a host that followed another one", func() {
+		listed(c, 1, "aa")
+		other := described()
+		other.Import(c.Digest(other.Cursor()), now)
+		c.Heard(near, stash.Events{Epoch: 2, Next: 1}, now)
+		other.Import(c.Digest(other.Cursor()), now)
+		listed(c, 2, "bb")
+		known := other.Cursor()
+		known.Brief = true
+		d := c.Digest(known)
+		Expect(d.Updates).To(HaveLen(2))
+		Expect([]bool{d.Updates[0].Full, d.Updates[1].Full}).To(Equal([]bool{true, true}))
+		other.Import(d, now)
+		third := described()
+		listed(third, 2, "cc")
+		Expect(third.Digest(other.Cursor()).Updates[0].Full).To(BeTrue())
 	})
 
 	It("counts the age of what another host told from when that one heard it", func() {
 		listed(c, 1, "aa")
 		now += 1500 * time.Millisecond
 		other := described()
-		other.Import(c.Digest(other.Cursors()), now)
+		other.Import(c.Digest(other.Cursor()), now)
 		Expect(other.Plan(prompt, scope, 1, engine).Fetch[0]).To(Equal(near))
 		now += 200 * time.Millisecond
 		Expect(other.Plan(prompt, scope, 1, engine).Fetch[0]).To(BeEmpty())
