Publish the weights that an engine has loaded, not those named meanwhile

The engine had accepted the order for version 2 before 3 was named; when it had loaded, the holder published the version named at that moment. All hosts believed it, and the holder did not order the engine again until the entry had expired.

--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -162,16 +162,19 @@
 
 // load brings one engine to the weights that are named when it begins.
 func (r *Roller) load(ctx context.Context, e Engine) {
-	ok := pause.For(ctx, spread) == nil && r.idle(ctx, e) && r.order(ctx, e, r.named()[e.Model])
+	held := 0
+	if pause.For(ctx, spread) == nil && r.idle(ctx, e) {
+		held = r.order(ctx, e, r.named()[e.Model])
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.loading, e.ID)
 	r.dirty = true
-	if !ok {
+	if held == 0 {
 		r.until[e.ID] = wire.Boot() + againAfter
 		return
 	}
-	r.loaded[e.ID] = loaded{versions: map[string]int{e.Model: r.named()[e.Model]}, at: wire.Boot()}
+	r.loaded[e.ID] = loaded{versions: map[string]int{e.Model: held}, at: wire.Boot()}
 }
 
 // idle waits for the runs of an engine to which nothing is sent any more, but
@@ -189,15 +192,17 @@
 	return true
 }
 
-// order gives an order and waits until the engine has the weights.
-func (r *Roller) order(ctx context.Context, e Engine, version int) bool {
+// order gives an order and waits until the engine has the weights. It returns the
+// version that the engine has; zero if it has not got there. Newer ones may have
+// been named meanwhile.
+func (r *Roller) order(ctx context.Context, e Engine, version int) int {
 	before, err := r.report(ctx, e)
 	if err != nil {
 		r.log.Warn("engine does not report", zap.String("target", e.ID), zap.Error(err))
-		return false
+		return 0
 	}
-	if r.has(e, before, version) {
-		return true
+	if held := r.has(e, before, version); held > 0 {
+		return held
 	}
 	if before.Busy {
 		return r.await(ctx, e, version, true, before.Sequence)
@@ -205,7 +210,7 @@
 	fence, err := r.fence.Fence()
 	if err != nil || !r.fence.Unfenced() {
 		r.log.Warn("order withheld", zap.String("target", e.ID), zap.Error(err))
-		return false
+		return 0
 	}
 	o := Order{
 		Target: e.ID, Address: e.Address, Model: e.Model, Version: version,
@@ -224,39 +229,40 @@
 	case Unknown:
 		return r.await(ctx, e, version, true, before.Sequence)
 	}
-	return false
+	return 0
 }
 
 // await waits until an engine has the weights. An order that is in doubt counts
 // as not accepted once the engine is idle with the sequence from before.
-func (r *Roller) await(ctx context.Context, e Engine, version int, doubt bool, sequence uint64) bool {
+func (r *Roller) await(ctx context.Context, e Engine, version int, doubt bool, sequence uint64) int {
 	begin := wire.Boot()
 	for wire.Boot()-begin < loadLimit {
 		if pause.For(ctx, reportPeriod) != nil {
-			return false
+			return 0
 		}
 		now, err := r.report(ctx, e)
 		switch {
 		case err != nil:
 			if wire.Boot()-begin > loadLimit/4 {
-				return false
+				return 0
 			}
-		case r.has(e, now, version):
-			return true
+		case now.Versions[e.Model] >= version:
+			return r.has(e, now, version)
 		case doubt && !now.Busy && wire.Boot()-begin > doubtLimit && now.Sequence <= sequence:
-			return false
+			return 0
 		}
 	}
-	return false
+	return 0
 }
 
-func (r *Roller) has(e Engine, now Report, version int) bool {
+// has returns the version that a report shows if it is at least the one wanted.
+func (r *Roller) has(e Engine, now Report, version int) int {
 	held := now.Versions[e.Model]
 	if held < version {
-		return false
+		return 0
 	}
 	r.learn(e.ID, e.Model, held)
-	return true
+	return held
 }
 
 func (r *Roller) report(ctx context.Context, e Engine) (Report, error) {
