--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -32,7 +33,7 @@
 )
 
 type state struct {
-	Target
+	*Target
 	flight   Flight
 	reported float64
 	// reportedAt is when a reply stated the load.
@@ -114,7 +115,7 @@
 	}
 	s.learned = map[string]int{model: version}
 	s.learnedAt = f.now()
-	f.changed(Change{Target: s.Target, What: "weights"})
+	f.changed(Change{Target: *s.Target, What: "weights"})
 }
 
 // Put adds or replaces a target. An entry of an earlier start is ignored.
@@ -142,7 +143,7 @@
 	if t.Leaving && !old.Leaving {
 		f.changed(Change{Target: t, What: "leaving"})
 	}
-	old.Target, old.lapsed = t, 0
+	old.Target, old.lapsed = &t, 0
 }
 
 // Remove drops a target that is no longer listed.
@@ -161,12 +162,12 @@
 	if now := f.now(); now < f.graceEnd && !s.Leaving {
 		if s.lapsed == 0 {
 			s.lapsed = f.graceEnd
-			f.changed(Change{Target: s.Target, What: "lapsed"})
+			f.changed(Change{Target: *s.Target, What: "lapsed"})
 		}
 		return
 	}
 	delete(f.targets, id)
-	f.changed(Change{Target: s.Target, What: "gone"})
+	f.changed(Change{Target: *s.Target, What: "gone"})
 }
 
 // Replace sets the whole list.
@@ -247,7 +248,7 @@
 	for id, s := range f.targets {
 		if s.lapsed != 0 && now >= s.lapsed {
 			delete(f.targets, id)
-			f.changed(Change{Target: s.Target, What: "gone"})
+			f.changed(Change{Target: *s.Target, What: "gone"})
 			dropped = true
 		}
 	}
@@ -275,7 +276,7 @@
 // replace sets the state of a target that is new or has restarted. What other
 // hosts told counts for it too, until they tell again.
 func (f *Fleet) replace(t Target) {
-	s := &state{Target: t}
+	s := &state{Target: &t}
 	for _, o := range f.others {
 		s.told = s.told.Add(o.flights[t.ID])
 	}
@@ -293,13 +294,15 @@
 		Target: s.Target, Flight: s.flight, Heard: s.heard, Waiting: s.waiting, Risk: s.riskNow(now), Down: s.down(now),
 	}
 	if s.learned != nil && now-s.learnedAt < versionGrace {
-		st.Versions = make(map[string]int, len(s.Versions))
-		for m, v := range s.Versions {
-			st.Versions[m] = v
+		t := *s.Target
+		t.Versions = maps.Clone(s.Versions)
+		if t.Versions == nil {
+			t.Versions = make(map[string]int, len(s.learned))
 		}
 		for m, v := range s.learned {
-			st.Versions[m] = max(v, st.Versions[m])
+			t.Versions[m] = max(v, t.Versions[m])
 		}
+		st.Target = &t
 	}
 	return st
 }
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -19,13 +19,13 @@
 	s.downs++
 	s.downUntil = now + min(firstDown<<min(s.downs-1, 3), maxDown)
 	s.suspected, s.probing = false, false
-	f.changed(Change{Target: s.Target, What: "unreachable"})
+	f.changed(Change{Target: *s.Target, What: "unreachable"})
 }
 
 // reachable notes that a target took a connection.
 func (f *Fleet) reachable(s *state, now time.Duration) {
 	if s.downs > 0 {
-		f.changed(Change{Target: s.Target, What: "reachable"})
+		f.changed(Change{Target: *s.Target, What: "reachable"})
 	}
 	s.downs, s.downUntil, s.proven = 0, 0, now
 	s.suspected, s.probing = false, false
@@ -50,7 +50,7 @@
 			continue
 		}
 		s.suspected, s.downUntil = true, now+firstDown
-		f.changed(Change{Target: s.Target, What: "suspected by " + host})
+		f.changed(Change{Target: *s.Target, What: "suspected by " + host})
 	}
 }
 
@@ -81,7 +81,7 @@
 			continue
 		}
 		s.probing = true
-		due = append(due, s.Target)
+		due = append(due, *s.Target)
 	}
 	return due
 }
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -43,7 +43,8 @@
 
 // Status is a target with what the host knows about it.
 type Status struct {
-	Target
+	// Target is shared and must not be changed.
+	*Target
 	// Flight is this host's, Others that of the other hosts.
 	Flight Flight `json:"flight"`
 	Others Flight `json:"others"`
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -227,7 +227,7 @@
 
 // send describes an attempt that starts now.
 func (g *Gate) send(j *job, c choice) Send {
-	s := Send{Call: j.Call, Target: c.Target, Left: j.end - wire.Boot(), LastEvent: j.last, State: c.state}
+	s := Send{Call: j.Call, Target: *c.Target, Left: j.end - wire.Boot(), LastEvent: j.last, State: c.state}
 	if j.account != nil {
 		s.Account = j.account.Name
 	}
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -33,7 +33,7 @@
 	if j.Prompt != nil {
 		version := s.Versions[j.Prompt.Model]
 		scope := g.keeper.Scope(j.Prompt.Model, version, j.account)
-		out.state = g.keeper.Plan(j.Prompt, scope, version, s.Target)
+		out.state = g.keeper.Plan(j.Prompt, scope, version, *s.Target)
 		w := work(j.Prompt)
 		need.Tokens = w.Shared + w.Own + j.Prompt.Out
 		need.Unread = w.Own + w.Shared - min(max(c.Resident, c.Stored), w.Shared)
@@ -76,7 +76,7 @@
 		known = g.keeper.Look(j.Prompt, scope)
 		look[scope] = known
 	}
-	c.Resident, c.Stored, c.FetchMs = known.Weigh(s.Target)
+	c.Resident, c.Stored, c.FetchMs = known.Weigh(*s.Target)
 	if e := j.service.Engine; e != nil {
 		c.Room = e.Tokens
 	}
