Use the settings for memory and leaving targets, drop the unused number of connections

The memory limit bounds the collector's heap; the time for which a leaving target takes requests bounds the pace at which many hosts look at the list of targets.

--- a/cmd/sesamed/serve.go
+++ b/cmd/sesamed/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
@@ -15,6 +16,10 @@
 	"sesamehill.example/sesamehill/platform"
 )
 
+// memoryShare is the share of the memory limit from which garbage is collected
+// more often; what the limit counts includes more than the heap.
+const memoryShare = 0.8
+
 type serveCommand struct {
 	settings string
 }
@@ -45,6 +50,9 @@
 		return failed(err)
 	}
 	defer log.Flush()
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
+	}
 	h, err := front.New(
 		s, platform.New(s.Platform), front.WithLog(log.With(zap.String("host", s.Name))),
 		front.WithFile(c.settings, log.SetLevel),
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -31,10 +31,12 @@
 	// fetchReplaced is how long state of replaced weights is fetched after newer
 	// ones were named.
 	fetchReplaced = time.Second
-	// fastListPace and slowListPace are well below the time for which a leaving
-	// target takes requests.
+	// fastListPace and slowListPace are the times between two looks at the list of
+	// targets of few and of many hosts. Neither exceeds a leavingShare of the time
+	// for which a leaving target takes requests.
 	fastListPace = 300 * time.Millisecond
 	slowListPace = time.Second
+	leavingShare = 0.4
 	// exitMargin is left between the end of the drain and SIGKILL.
 	exitMargin = 700 * time.Millisecond
 )
@@ -181,10 +183,14 @@
 // listPace is the time between two looks at the list of targets. Entries change
 // often, and each change would otherwise wake every host.
 func (h *Host) listPace() time.Duration {
+	pace := fastListPace
 	if h.members.count() > fewHosts {
-		return slowListPace
+		pace = slowListPace
 	}
-	return fastListPace
+	if drain := h.current().Drain; drain > 0 {
+		pace = min(pace, time.Duration(leavingShare*drain*float64(time.Millisecond)))
+	}
+	return pace
 }
 
 // Ready reports whether the host should get new connections.
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -86,6 +86,19 @@
 		Expect(direct).To(Equal(map[string]int{"sul-a": 1, "sul-b": 1, "sul-c": 1}))
 	})
 
+	// Guards against many hosts that look at the list so seldom that they send to
+	// targets which have left.
+	It("look at the list well within the time that a leaving target has", func() {
+		m.host.members = m
+		see(time.Minute, strings.Split("abcdefghijklmnop", "")...)
+		m.heard = time.Minute
+		Expect(m.host.listPace()).To(Equal(slowListPace))
+		m.host.settings.Drain = 1000
+		Expect(m.host.listPace()).To(Equal(400 * time.Millisecond))
+		m.host.settings.Drain = 4000
+		Expect(m.host.listPace()).To(Equal(slowListPace))
+	})
+
 	It("contends for no lease before the rows were read", func() {
 		Expect(m.contends()).To(BeFalse())
 	})
@@ -132,6 +145,7 @@
 		Entry("an unknown level", `level = "info"`, `level = "loud"`, "level"),
 		Entry("an unknown placement", `level = "info"`, "level = \"info\"\nplacement = \"best\"", "placement"),
 		Entry("no window", "window = 10", "window = 0", "window"),
+		Entry("a negative drain time", "lease = 3000", "lease = 3000\ndrain = -1", "drain"),
 		Entry("no grace", "grace = 8", "grace = 0", "grace"),
 		Entry("a value that is missing", `name = "a"`, `name = null`, "cannot be decoded"),
 	)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -113,8 +113,8 @@
 		return &SettingsError{Field: "ratio, slack or window", Problem: "is negative or zero"}
 	case s.Grace <= 0:
 		return &SettingsError{Field: "grace", Problem: "is not positive"}
-	case s.Lease < 0:
-		return &SettingsError{Field: "lease", Problem: "is negative"}
+	case s.Lease < 0 || s.Drain < 0 || s.Memory < 0:
+		return &SettingsError{Field: "lease, drain or memory", Problem: "is negative"}
 	}
 	if _, err := place.ParsePolicy(s.Placement); err != nil {
 		return &SettingsError{Field: "placement", Problem: "is not usable: " + err.Error()}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -101,7 +101,6 @@
 // Service is a group of equal targets, or one store.
 type Service struct {
 	Name   string
-	Conns  int
 	Engine *Engine
 	Store  *Store
 }
