Fetch kept state while the platform is out of reach but a counted host is heard

Change: a host says in its messages whether its row is fresh. A host whose own row is not goes on fetching for 1.2 s after such a message: it has heard of new weights by then, and a fetch that begins meanwhile ends before state is freed.

The sender of messages ends with the hailer; a test showed that it did not.

--- a/internal/front/duty_test.go
+++ b/internal/front/duty_test.go
@@ -11,6 +11,7 @@
 	"sesamehill.example/sesamehill/internal/gate"
 	"sesamehill.example/sesamehill/internal/hail"
 	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/internal/stash"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -60,6 +61,22 @@
 		Expect(fetch).To(BeFalse())
 	})
 
+	// Guards against hosts that read everything again while only the platform is out
+	// of reach: the hosts that they hear tell them of new weights.
+	It("is fetched while a host is heard that the others count on", func() {
+		h.members.written = wire.Boot() - confirmFor - time.Second
+		h.members.Vouched()
+		fetch, _ := h.use("m", 1)
+		Expect(fetch).To(BeTrue())
+		h.members.vouched = wire.Boot() - vouchFor - time.Millisecond
+		fetch, _ = h.use("m", 1)
+		Expect(fetch).To(BeFalse())
+	})
+
+	It("outlives each fetch that begins while a host is vouched for", func() {
+		Expect(vouchFor + stash.FetchLimit).To(BeNumerically("<", releaseAfter))
+	})
+
 	It("is freed once every host has known of the new weights for long enough", func() {
 		named(2, time.Minute)
 		acks("b", 2, time.Minute)
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -145,7 +145,7 @@
 	t.Add("members", h.members.Run)
 	t.Add("hail", hail.New(
 		h.settings.Peer, h.settings.Name, h.fleet, h.members.peers,
-		hail.WithLog(h.log), hail.WithChanged(h.gate.Kick), hail.WithWeights(h),
+		hail.WithLog(h.log), hail.WithChanged(h.gate.Kick), hail.WithWeights(h), hail.WithRoster(h.members),
 	).Run)
 	h.duty.add(t)
 	return errors.Trace(t.Run(parts))
@@ -173,11 +173,11 @@
 
 // use says whether state of a weight version may be fetched and saved. State of
 // replaced weights is saved no more, and is fetched only for a moment, so that it
-// can be freed soon. A host that has not written its row for long fetches
-// nothing: the others may have stopped waiting for its word.
+// can be freed soon. A host that has not written its row for long and hears no host
+// that has fetches nothing: the others may have stopped waiting for its word.
 func (h *Host) use(model string, version int) (fetch, save bool) {
 	age, behind := h.operator.Behind(model, version)
-	return (!behind || age < fetchReplaced) && h.members.confirmed(), !behind
+	return (!behind || age < fetchReplaced) && h.members.informed(), !behind
 }
 
 // listPace is the time between two looks at the list of targets. Entries change
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -29,7 +29,11 @@
 	memberMemory = 12 * time.Second
 	// confirmFor is how long a host uses kept state after its row was written last.
 	// It is shorter than memberMemory by more than a fetch can last.
-	confirmFor    = 9 * time.Second
+	confirmFor = 9 * time.Second
+	// vouchFor is how long a host that cannot write its row uses kept state after it
+	// heard a host that can. State is freed releaseAfter the last counted host knew
+	// of new weights; a fetch that begins within vouchFor has ended by then.
+	vouchFor      = 1200 * time.Millisecond
 	memberTimeout = 700 * time.Millisecond
 	// assumedHosts is the number of hosts that a host assumes to share budgets
 	// with before it knows better; minHosts is the least it ever assumes.
@@ -66,6 +70,8 @@
 	// written is the boot time at which the last successful write of this host's row
 	// began.
 	written time.Duration
+	// vouched is the boot time at which a confirmed host was heard last.
+	vouched time.Duration
 }
 
 type sighting struct {
@@ -116,13 +122,31 @@
 	m.mu.Unlock()
 }
 
-// confirmed reports whether the other hosts still count on this one.
-func (m *members) confirmed() bool {
+// Confirmed reports whether the other hosts still count on this one.
+func (m *members) Confirmed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.written != 0 && wire.Boot()-m.written < confirmFor
 }
 
+// Vouched notes that a host was heard which the others count on.
+func (m *members) Vouched() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vouched = wire.Boot()
+}
+
+// informed reports whether this host learns in time that state is to be freed:
+// the others wait for its word, or for that of a host that it hears.
+func (m *members) informed() bool {
+	if m.Confirmed() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.vouched != 0 && wire.Boot()-m.vouched < vouchFor
+}
+
 // others returns the other hosts that may be alive; false if the rows were not
 // read lately, or not since a boot time.
 func (m *members) others(since time.Duration) ([]string, bool) {
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -14,6 +14,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -48,6 +49,8 @@
 	Progress *roll.Progress `cbor:"4,keyasint,omitempty"`
 	// Down are the targets that the host cannot reach.
 	Down []string `cbor:"5,keyasint,omitempty"`
+	// Confirmed says that the host has written its row on the platform lately.
+	Confirmed bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Named is a weight version and how long ago it was named, in milliseconds.
@@ -68,6 +71,14 @@
 	Heard(host, model string, n Named)
 }
 
+// Roster knows which hosts have written their rows on the platform lately.
+type Roster interface {
+	// Confirmed reports whether this host has.
+	Confirmed() bool
+	// Vouched notes that a host was heard which has.
+	Vouched()
+}
+
 // Check returns an error if the message cannot be used.
 func (m Message) Check() error {
 	if m.Host == "" {
@@ -84,6 +95,7 @@
 	peers   func() (near, far []string)
 	changed func()
 	weights Weights
+	roster  Roster
 	log     *zap.Logger
 }
 
@@ -96,6 +108,9 @@
 // WithLog sets the log.
 func WithLog(l *zap.Logger) Option { return func(h *Hailer) { h.log = l } }
 
+// WithRoster sets what knows whose rows on the platform are fresh.
+func WithRoster(r Roster) Option { return func(h *Hailer) { h.roster = r } }
+
 // WithWeights sets what is told about named weights.
 func WithWeights(w Weights) Option { return func(h *Hailer) { h.weights = w } }
 
@@ -118,7 +133,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the receiver
 	defer stop()
-	go h.send(ctx, conn)
+	ctx, end := context.WithCancel(ctx)
+	var sending sync.WaitGroup
+	sending.Go(func() { h.send(ctx, conn) })
+	defer sending.Wait()
+	defer end()
 	return h.receive(ctx, conn)
 }
 
@@ -136,6 +155,7 @@
 		if h.weights != nil {
 			m.Named, m.Progress = h.weights.Ages(), h.weights.Progress()
 		}
+		m.Confirmed = h.roster != nil && h.roster.Confirmed()
 		b, err := cbor.Marshal(m)
 		if err != nil || len(b) > maxDatagram {
 			h.log.Warn("message to hosts not sent", zap.Int("bytes", len(b)), zap.Error(err))
@@ -185,6 +205,9 @@
 		h.fleet.Told(m.Host, m.Flights)
 		h.fleet.Suspect(m.Host, m.Down)
 		h.heard(m)
+		if m.Confirmed && h.roster != nil {
+			h.roster.Vouched()
+		}
 		h.changed()
 	}
 }
--- /dev/null
+++ b/internal/hail/hail_test.go
@@ -0,0 +1,106 @@
+package hail
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+)
+
+func TestHail(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hail")
+}
+
+// roster counts the words of confirmed hosts.
+type roster struct {
+	mu        sync.Mutex
+	confirmed bool
+	vouched   int
+}
+
+func (r *roster) Confirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
+func (r *roster) Vouched() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vouched++
+}
+
+func (r *roster) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.vouched
+}
+
+func (r *roster) set(confirmed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed = confirmed
+}
+
+// Guards against hosts that learn nothing from each other, or take a host for
+// confirmed that is not.
+var _ = Describe("a hailer", func() {
+	var addresses [2]string
+	var fleets [2]*fleet.Fleet
+	var rosters [2]*roster
+	BeforeEach(func() {
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		DeferCleanup(func() {
+			stop()
+			running.Wait()
+		})
+		for i := range addresses {
+			c, err := net.ListenPacket("udp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			addresses[i] = c.LocalAddr().String()
+			Expect(c.Close()).To(Succeed())
+			fleets[i], rosters[i] = fleet.New(), &roster{}
+			fleets[i].Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
+		}
+		for i := range addresses {
+			peers := func() (near, far []string) { return []string{addresses[1-i]}, nil }
+			h := New(addresses[i], string(rune('a'+i)), fleets[i], peers, WithRoster(rosters[i]))
+			running.Go(func() {
+				defer GinkgoRecover()
+				Expect(h.Run(ctx)).To(Succeed())
+			})
+		}
+	})
+
+	It("tells what is in flight", func() {
+		a := fleets[0].Begin("e", fleet.Flight{Tokens: 700})
+		defer a.End(fleet.Left)
+		Eventually(func() int { return fleets[1].Serving("llm")[0].Others.Tokens }, "3s", "10ms").Should(Equal(700))
+	})
+
+	It("vouches only while its host is confirmed", func() {
+		Consistently(rosters[1].count, "400ms", "20ms").Should(BeZero())
+		rosters[0].set(true)
+		Eventually(rosters[1].count, "3s", "10ms").Should(BeNumerically(">", 2))
+		Expect(rosters[0].count()).To(BeZero())
+	})
+
+	It("goes on after messages that are not usable", func() {
+		c, err := net.Dial("udp", addresses[1])
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		for _, junk := range []string{"", "\xff\xff\xff", "junk"} {
+			_, err := c.Write([]byte(junk))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		rosters[0].set(true)
+		Eventually(rosters[1].count, "3s", "10ms").Should(BeNumerically(">", 0))
+	})
+})
