--- a/internal/hail/hail_test.go
+++ b/internal/hail/hail_test.go
@@ -93,6 +93,8 @@
 	})
 
 	It("goes on after messages that are not usable", func() {
+		rosters[0].set(true)
+		Eventually(rosters[1].count, "3s", "10ms").Should(BeNumerically(">", 0))
 		c, err := net.Dial("udp", addresses[1])
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = c.Close() }()
@@ -100,7 +102,7 @@
 			_, err := c.Write([]byte(junk))
 			Expect(err).NotTo(HaveOccurred())
 		}
-		rosters[0].set(true)
-		Eventually(rosters[1].count, "3s", "10ms").Should(BeNumerically(">", 0))
+		before := rosters[1].count()
+		Eventually(rosters[1].count, "3s", "10ms").Should(BeNumerically(">", before+1))
 	})
 })
