--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -60,19 +60,37 @@
 		})
 	}
 
-	// Guards against an account that slows the others down.
-	It("keeps the others' p95 within 10% while a small account sends ten times its share", func() {
-		quiet := rows(short("borough", trace.Normal), 1, trace.Real)[trace.Real]
-		flooded := rows(short("borough", trace.Flood), 1, trace.Real)[trace.Real]
-		Expect(flooded.Others).To(BeNumerically("<", 1.1*quiet.Others))
-	})
+	for _, d := range trace.Deployments() {
+		// Guards against an account that slows the others down.
+		It("keeps the others' p95 within 10% while a small account sends ten times its share on "+d, func() {
+			quiet := rows(short(d, trace.Normal), 1, trace.Real)[trace.Real]
+			flooded := rows(short(d, trace.Flood), 1, trace.Real)[trace.Real]
+			Expect(flooded.Others).To(BeNumerically("<", 1.1*quiet.Others))
+		})
 
-	// Guards against decisions that still count on a dead store or a fast link.
-	It("stays ahead of least loaded with a dead store and with a slow link", func() {
-		for _, c := range []trace.Scenario{trace.StoreDead, trace.SlowLink} {
-			m := rows(short("borough", c), 1, trace.Real, trace.Oracle, trace.LeastLoaded)
-			Expect(m[trace.Real].Recomputed).To(BeNumerically("<=", 1.1*m[trace.Oracle].Recomputed), string(c))
-			Expect(m[trace.Real].P95).To(BeNumerically("<", m[trace.LeastLoaded].P95), string(c))
-		}
-	})
+		// Guards against decisions that still count on a dead store or a fast link.
+		It("stays ahead of least loaded with a dead store and with a slow link on "+d, func() {
+			for _, c := range []trace.Scenario{trace.StoreDead, trace.SlowLink} {
+				m := rows(short(d, c), 1, trace.Real, trace.Oracle, trace.LeastLoaded)
+				Expect(m[trace.Real].Recomputed).To(BeNumerically("<=", 1.1*m[trace.Oracle].Recomputed), string(c))
+				Expect(m[trace.Real].P95).To(BeNumerically("<", m[trace.LeastLoaded].P95), string(c))
+			}
+		})
+	}
 })
+
+// TestLongTrace guards against targets that are kept on short traces only.
+func TestLongTrace(t *testing.T) {
+	for _, d := range trace.Deployments() {
+		t.Run(d, func(t *testing.T) {
+			g := NewWithT(t)
+			for _, c := range []trace.Scenario{trace.Normal, trace.StoreDead, trace.SlowLink} {
+				s, err := trace.NewSetup(d, c)
+				g.Expect(err).NotTo(HaveOccurred())
+				s.Warm, s.Measured = 40*time.Minute, 15*time.Minute
+				m := rows(s, 1, trace.Real, trace.Oracle)
+				g.Expect(m[trace.Real].Recomputed).To(BeNumerically("<=", 1.1*m[trace.Oracle].Recomputed), string(c))
+			}
+		})
+	}
+}
