--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -131,9 +131,10 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen for other hosts on %s; free the address", h.address)
 	}
+	// The receiver sees the end of this context before the connection is closed.
+	ctx, end := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the receiver
 	defer stop()
-	ctx, end := context.WithCancel(ctx)
 	var sending sync.WaitGroup
 	sending.Go(func() { h.send(ctx, conn) })
 	defer sending.Wait()
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -21,6 +21,9 @@
 	settleTime = 1500 * time.Millisecond
 	// lostAfter is how long the list of engines names one that was lost.
 	lostAfter = time.Second
+	// returnSuffix makes the ID of a request that returns after a refusal, as each
+	// attempt of a caller has its own.
+	returnSuffix = "b"
 	// busyShare is the share of taken slots from which a refusal is not one with
 	// free slots.
 	busyShare = 0.5
@@ -253,7 +256,7 @@
 		if pause.For(ctx, o.answer.RetryAfter) != nil {
 			break
 		}
-		h, a.request.ID = again, a.request.ID+"b"
+		h, a.request.ID = again, a.request.ID+returnSuffix
 	}
 	t.result.add(o)
 }
