Do not report the drained front as a failed part

Each stop logged 'part failed ... http: Server closed' as an error, seen in the logs of the hosts that a trial of a load pattern had stopped, and the tree started the front again for nothing.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -43,9 +44,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() }) // ends Serve
 	defer stop()
-	if err := s.http.Serve(l); ctx.Err() == nil {
+	if err := s.http.Serve(l); ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-ctx.Done() // a drained server is not started again
 	return nil
 }
 
