Work out the usual pace of the stores once a request

Each store that holds a part, and each one that might take it, sorted the paces of all stores again.

--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -348,11 +348,12 @@
 func (c *Catalog) Stats() []Stat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	m := c.moment()
 	out := make([]Stat, 0, len(c.order))
 	for _, s := range c.order {
-		st := Stat{Name: s.name, Epoch: s.epoch, Parts: len(s.held), Used: s.used, Tokens: s.Tokens, Pace: c.paceOf(s, c.now()), Age: -1}
+		st := Stat{Name: s.name, Epoch: s.epoch, Parts: len(s.held), Used: s.used, Tokens: s.Tokens, Pace: m.pace(s), Age: -1}
 		if s.heard != 0 {
-			st.Age = (c.now() - s.heard).Milliseconds()
+			st.Age = (m.now - s.heard).Milliseconds()
 		}
 		out = append(out, st)
 	}
--- a/internal/stash/pace.go
+++ b/internal/stash/pace.go
@@ -40,30 +40,40 @@
 func (c *Catalog) Fetched(addresses []string, expectedMs float64, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	m := c.moment()
 	for i := len(addresses) - 1; i >= 0; i-- {
 		s, ok := c.stores[addresses[i]]
 		if !ok || expectedMs <= 0 {
 			continue
 		}
-		base := expectedMs / c.paceOf(s, now)
+		base := expectedMs / m.pace(s)
 		spent := float64(took)/float64(time.Millisecond) - restMs
-		s.pace.note(spent/(base+restMs/3), now)
+		s.pace.note(spent/(base+restMs/3), m.now)
 		return
 	}
 }
 
-// paceOf returns how much longer than expected fetches from a store take, beyond
-// what they take from most stores: that part is the engines' own delay.
-func (c *Catalog) paceOf(s *store, now time.Duration) float64 {
-	all := make([]float64, 0, len(c.order))
-	for _, other := range c.order {
-		all = append(all, other.pace.at(now))
+// moment is a time with the usual pace of the stores at it, which is worked out
+// once for all stores that are looked at.
+type moment struct {
+	now   time.Duration
+	usual float64
+}
+
+func (c *Catalog) moment() moment {
+	m := moment{now: c.now(), usual: 1}
+	if len(c.order) < minStores {
+		return m
 	}
-	if len(all) < minStores {
-		return s.pace.at(now)
+	all := make([]float64, 0, len(c.order))
+	for _, s := range c.order {
+		all = append(all, s.pace.at(m.now))
 	}
 	slices.Sort(all)
-	usual := all[(len(all)-1)/2]
-	return max(s.pace.at(now)-usual, 0) + 1
+	m.usual = all[(len(all)-1)/2]
+	return m
 }
+
+// pace returns how much longer than expected fetches from a store take, beyond
+// what they take from most stores: that part is the engines' own delay.
+func (m moment) pace(s *store) float64 { return max(s.pace.at(m.now)-m.usual, 0) + 1 }
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -67,13 +67,14 @@
 	fetch, _ := c.allowed(scope)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := &holdings{catalog: c, scope: scope, now: c.now()}
+	m := c.moment()
+	h := &holdings{catalog: c, scope: scope, now: m.now}
 	for _, part := range p.Shared() {
 		h.subject = part.ID
 		h.tokens += part.Tokens
 		known := holding{tokens: part.Tokens}
 		if fetch {
-			known.stores = c.holders(Key{scope, part.ID}, h.now)
+			known.stores = c.holders(Key{scope, part.ID}, m)
 		}
 		h.parts = append(h.parts, known)
 	}
@@ -130,7 +131,7 @@
 	fetch, save := c.allowed(scope)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	m := c.moment()
 	st := &gate.State{
 		Scope: scope, Version: version, Fetch: make([]string, len(p.Parts)), Save: make([]string, len(p.Parts)),
 	}
@@ -138,7 +139,7 @@
 	fetches, ms := false, 0.0
 	for i, part := range shared {
 		key := Key{scope, part.ID}
-		if s, factor, ok := c.nearest(c.holders(key, now), t.Zone); ok {
+		if s, factor, ok := c.nearest(c.holders(key, m), t.Zone); ok {
 			if took := c.partMs(s, part.Tokens, factor); fetch && worth(part.Tokens, took, s.pace) {
 				st.Fetch[i] = s.Address
 				fetches = true
@@ -149,21 +150,21 @@
 		if !save {
 			continue
 		}
-		if s := c.keep(key, part.Tokens, t.Zone, now); s != nil {
+		if s := c.keep(key, part.Tokens, t.Zone, m); s != nil {
 			st.Save[i] = s.Address
-			s.saving[key] = now
+			s.saving[key] = m.now
 		}
 	}
 	if fetches && c.hasOffset {
 		limit := min(max(time.Duration(fetchSlack*ms*float64(time.Millisecond)), fetchLeast), FetchLimit)
-		st.Until = now.Milliseconds() + c.offset + limit.Milliseconds()
+		st.Until = m.now.Milliseconds() + c.offset + limit.Milliseconds()
 		st.FetchMs = ms
 	}
 	if fetches && !c.hasOffset {
 		st.Fetch = make([]string, len(p.Parts)) // without a clock a fetch has no end
 	}
 	if len(shared) > 0 {
-		c.sends.Add(sendKey{t.ID, scope, shared[len(shared)-1].ID}, now)
+		c.sends.Add(sendKey{t.ID, scope, shared[len(shared)-1].ID}, m.now)
 	}
 	return st
 }
@@ -178,14 +179,14 @@
 }
 
 // holders returns the stores that certainly hold a part.
-func (c *Catalog) holders(k Key, now time.Duration) []source {
+func (c *Catalog) holders(k Key, m moment) []source {
 	var out []source
 	for _, s := range c.order {
-		if !s.believed(now) {
+		if !s.believed(m.now) {
 			continue
 		}
 		if _, ok := s.held[k]; ok {
-			out = append(out, source{store: s, pace: c.paceOf(s, now)})
+			out = append(out, source{store: s, pace: m.pace(s)})
 		}
 	}
 	return out
@@ -203,17 +204,17 @@
 
 // keep returns the store that takes a part which no store holds; nil if one is
 // about to, or none has room.
-func (c *Catalog) keep(k Key, tokens int, zone string, now time.Duration) *store {
+func (c *Catalog) keep(k Key, tokens int, zone string, m moment) *store {
 	var best *store
 	near, most := 0.0, 0.0
 	for _, s := range c.order {
-		if at, ok := s.saving[k]; ok && now-at < saveMemory {
+		if at, ok := s.saving[k]; ok && m.now-at < saveMemory {
 			return nil
 		}
-		if c.paceOf(s, now) > slowPace {
+		if m.pace(s) > slowPace {
 			continue
 		}
-		if !s.believed(now) || now < s.open || c.regions[s.Zone] != c.regions[zone] {
+		if !s.believed(m.now) || m.now < s.open || c.regions[s.Zone] != c.regions[zone] {
 			continue
 		}
 		if float64(s.used+tokens) > fullShare*float64(s.Tokens) {
