--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -50,7 +50,6 @@
 	if j.Prompt == nil {
 		return place.Plain(cs, j.costs)
 	}
-
 	w := work(j.Prompt)
 	if j.waiting > 0 {
 		w.WaitedMs = float64(wire.Boot()-j.waiting) / float64(time.Millisecond)
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -241,14 +241,16 @@
 			return 0
 		}
 		now, err := r.report(ctx, e)
-		switch {
-		case err != nil:
+		if err != nil {
 			if wire.Boot()-begin > loadLimit/4 {
 				return 0
 			}
-		case now.Versions[e.Model] >= version:
-			return r.has(e, now, version)
-		case doubt && !now.Busy && wire.Boot()-begin > doubtLimit && now.Sequence <= sequence:
+			continue
+		}
+		if held := r.has(e, now, version); held > 0 {
+			return held
+		}
+		if doubt && !now.Busy && wire.Boot()-begin > doubtLimit && now.Sequence <= sequence {
 			return 0
 		}
 	}
