--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -104,9 +104,8 @@
 	})
 })
 
-// Guards against settings that start a host in a state nobody asked for.
-var _ = Describe("ParseSettings", func() {
-	const good = `name = "a"
+// goodSettings is a complete settings file.
+const goodSettings = `name = "a"
 zone = "sul-a"
 region = "sul"
 platform = "10.0.0.1:80"
@@ -123,18 +122,21 @@
 [zones]
 sul-a = "sul"
 `
+
+// Guards against settings that start a host in a state nobody asked for.
+var _ = Describe("ParseSettings", func() {
 	It("takes complete settings", func() {
-		s, err := ParseSettings([]byte(good))
+		s, err := ParseSettings([]byte(goodSettings))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.allowance().Window).To(Equal(10 * time.Second))
 	})
 	DescribeTable("names what is wrong",
 		func(old, replacement, want string) {
-			text := []byte(good)
+			text := []byte(goodSettings)
 			if old == "" {
 				text = append([]byte(replacement), text...)
 			} else {
-				text = []byte(strings.Replace(good, old, replacement, 1))
+				text = []byte(strings.Replace(goodSettings, old, replacement, 1))
 			}
 			_, err := ParseSettings(text)
 			Expect(err).To(MatchError(ContainSubstring(want)))
--- a/internal/front/peer_test.go
+++ b/internal/front/peer_test.go
@@ -74,28 +74,12 @@
 // Guards against a host that SIGHUP ends, and against one that goes on with old
 // settings after the file has changed.
 var _ = Describe("changed settings", func() {
-	const text = `name = "a"
-zone = "z"
-region = "r"
-platform = "10.0.0.1:80"
-front = "10.0.0.2:80"
-ready = "10.0.0.2:81"
-peer = "10.0.0.2:82"
-admin = "10.0.0.2:83"
-level = "info"
-grace = 8
-ratio = 0.2
-slack = 52
-window = 10
-[zones]
-z = "r"
-`
 	var h *Host
 	var file string
 	var level atomic.Value
 	BeforeEach(func() {
 		file = filepath.Join(GinkgoT().TempDir(), "settings.toml")
-		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		Expect(os.WriteFile(file, []byte(goodSettings), 0o600)).To(Succeed())
 		s, err := LoadSettings(file)
 		Expect(err).NotTo(HaveOccurred())
 		h = &Host{settings: s, log: zap.NewNop(), file: file, gate: gate.New(nil, fleet.New())}
@@ -117,7 +101,7 @@
 		time.Sleep(100 * time.Millisecond)
 	})
 	write := func(old, replacement string) {
-		Expect(os.WriteFile(file, []byte(strings.Replace(text, old, replacement, 1)), 0o600)).To(Succeed())
+		Expect(os.WriteFile(file, []byte(strings.Replace(goodSettings, old, replacement, 1)), 0o600)).To(Succeed())
 	}
 
 	It("are in force after SIGHUP", func() {
--- a/internal/trial/pattern.go
+++ b/internal/trial/pattern.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"sesamehill.example/sesamehill/pkg/config"
 )
 
 // Limits of a pattern, so that a trial fits a workstation.
@@ -17,15 +19,6 @@
 	maxSeconds = 600
 )
 
-// Duration is a time in a pattern, such as "1.5s".
-type Duration struct{ time.Duration }
-
-// UnmarshalText reads a time.
-func (d *Duration) UnmarshalText(b []byte) (err error) {
-	d.Duration, err = time.ParseDuration(string(b))
-	return err
-}
-
 // Pattern is a load with what changes during it.
 type Pattern struct {
 	Name string `toml:"name"`
@@ -79,10 +72,10 @@
 	Out int `toml:"out"`
 	// Goal is the time to the first event that counts as in time, Gap the longest
 	// pause, Within the time that a caller waits.
-	Goal     Duration `toml:"goal"`
-	Gap      Duration `toml:"gap"`
-	Within   Duration `toml:"within"`
-	Priority int      `toml:"priority"`
+	Goal     config.Duration `toml:"goal"`
+	Gap      config.Duration `toml:"gap"`
+	Within   config.Duration `toml:"within"`
+	Priority int             `toml:"priority"`
 }
 
 // Kinds of changes.
@@ -99,9 +92,9 @@
 
 // Change is something that happens during a load.
 type Change struct {
-	Kind string   `toml:"kind"`
-	At   Duration `toml:"at"`
-	For  Duration `toml:"for"`
+	Kind string          `toml:"kind"`
+	At   config.Duration `toml:"at"`
+	For  config.Duration `toml:"for"`
 	// Of names the kind of request that a burst or a hot subject concerns.
 	Of string `toml:"of"`
 	// Count is the number of engines concerned.
@@ -172,7 +165,7 @@
 		return &PatternError{Field: "kind " + k.Name, Problem: "needs a rate above 0, a subject and a skew of 0 or more"}
 	case k.Own < 1 || k.Out < 1:
 		return &PatternError{Field: "kind " + k.Name, Problem: "needs own and out of at least 1"}
-	case k.Goal.Duration <= 0 || k.Gap.Duration <= 0 || k.Within.Duration < k.Goal.Duration:
+	case k.Goal.D() <= 0 || k.Gap.D() <= 0 || k.Within.D() < k.Goal.D():
 		return &PatternError{Field: "kind " + k.Name, Problem: "needs goal and gap, and within not below goal"}
 	}
 	return nil
@@ -195,7 +188,7 @@
 	default:
 		return &PatternError{Field: "change.kind", Problem: fmt.Sprintf("%q is unknown; use burst, lost, slow or hot", c.Kind)}
 	}
-	if c.For.Duration <= 0 {
+	if c.For.D() <= 0 {
 		return &PatternError{Field: field, Problem: "needs for above 0"}
 	}
 	return nil
@@ -212,5 +205,5 @@
 
 // during reports whether a change is in force at a time of the load.
 func (c Change) during(at time.Duration) bool {
-	return at >= c.At.Duration && at < c.At.Duration+c.For.Duration
+	return at >= c.At.D() && at < c.At.D()+c.For.D()
 }
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -81,13 +81,11 @@
 }
 
 func (o outcome) inTime() bool {
-	return o.whole() && o.first <= o.kind.Goal.Duration && o.gap <= o.kind.Gap.Duration
+	return o.whole() && o.first <= o.kind.Goal.D() && o.gap <= o.kind.Gap.D()
 }
 
 // result collects outcomes.
 type result struct {
-	pattern Pattern
-
 	mu          sync.Mutex
 	sum         Report
 	firsts      []time.Duration
@@ -98,9 +96,7 @@
 }
 
 func newResult(p Pattern) *result {
-	r := &result{pattern: p}
-	r.sum = Report{Pattern: p.Name, Series: make([]Counts, int(p.Seconds)+1)}
-	return r
+	return &result{sum: Report{Pattern: p.Name, Series: make([]Counts, int(p.Seconds)+1)}}
 }
 
 func (r *result) add(o outcome) {
