Bound every read of bytes from outside, and all of them together

A peer that sends without end took the host's memory.

Change: package bound reads with a limit by call and counts what is held in one pool, an eighth of the host's memory. What passes a limit is closed and counts as a failure of its target.

--- a/cmd/sesamed/serve.go
+++ b/cmd/sesamed/serve.go
@@ -53,9 +53,10 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
 	}
+	pool := s.Pool()
 	h, err := front.New(
-		s, platform.New(s.Platform), front.WithLog(log.With(zap.String("host", s.Name))),
-		front.WithFile(c.settings, log.SetLevel),
+		s, platform.New(s.Platform, pool), front.WithLog(log.With(zap.String("host", s.Name))),
+		front.WithFile(c.settings, log.SetLevel), front.WithPool(pool),
 	)
 	if err != nil {
 		return failed(err)
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gate"
@@ -76,6 +77,9 @@
 // WithLog sets the log.
 func WithLog(l *zap.Logger) Option { return func(h *Host) { h.log = l } }
 
+// WithPool sets the pool for what the host holds of bytes from outside.
+func WithPool(p *bound.Pool) Option { return func(h *Host) { h.pool = p } }
+
 // Host is one entry host.
 type Host struct {
 	mu       sync.Mutex // settings
@@ -84,6 +88,7 @@
 	level    func(string) error
 	platform Platform
 	log      *zap.Logger
+	pool     *bound.Pool
 	fleet    *fleet.Fleet
 	gate     *gate.Gate
 	operator *operator
@@ -102,7 +107,7 @@
 	if err := s.Check(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	h := &Host{settings: s, platform: p, log: zap.NewNop(), level: func(string) error { return nil }}
+	h := &Host{settings: s, platform: p, log: zap.NewNop(), level: func(string) error { return nil }, pool: s.Pool()}
 	for _, o := range opts {
 		o(h)
 	}
@@ -116,7 +121,7 @@
 		p.Codec(), h.fleet, gate.WithLog(h.log), gate.WithAllowance(s.allowance()),
 		gate.WithDistance(s.distance), gate.WithPoison(h.poison), gate.WithHosts(h.hosts),
 		gate.WithWeights(h), gate.WithKeeper(h.stash),
-		gate.WithStaleLimit(s.staleLimit()), gate.WithPolicy(s.policy()),
+		gate.WithStaleLimit(s.staleLimit()), gate.WithPolicy(s.policy()), gate.WithPool(h.pool),
 	)
 	h.duty = newDuty(h)
 	h.members = newMembers(h)
--- a/internal/front/peer.go
+++ b/internal/front/peer.go
@@ -21,7 +21,7 @@
 	// peerWait is how long such a call waits for a change, peerTimeout bounds it.
 	peerWait    = 200 * time.Millisecond
 	peerTimeout = 900 * time.Millisecond
-	maxDigest   = 32 << 20
+	maxDigest   = 4 << 20
 	maxCursor   = 1 << 10
 	// refreshPace is the time between two answers about all stores; it keeps those
 	// believed that do not change.
@@ -53,11 +53,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return d, fmt.Errorf("host at %s answered with status %d; ask another one", peer, resp.StatusCode)
 	}
-	b, err = io.ReadAll(io.LimitReader(resp.Body, maxDigest))
+	held, err := p.host.pool.Read(resp.Body, maxDigest)
 	if err != nil {
 		return d, errors.Trace(err)
 	}
-	if err := cbor.Unmarshal(b, &d); err != nil {
+	defer held.Release()
+	if err := cbor.Unmarshal(held.Bytes, &d); err != nil {
 		return d, errors.Annotatef(err, "decode the digest of the host at %s; run the same version on all hosts", peer)
 	}
 	if !known.Brief {
--- a/internal/front/peer_test.go
+++ b/internal/front/peer_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gate"
 	"sesamehill.example/sesamehill/internal/site"
@@ -48,7 +49,7 @@
 			return stash.Held{Key: stash.Key{Scope: "m/1", Part: part}, Tokens: 10}
 		}
 		hub.stash.Listed(store, stash.Listing{Epoch: 4, Next: 1, Held: []stash.Held{held("aa"), held("bb")}}, wire.Boot())
-		asking := &Host{log: zap.NewNop(), stash: described()}
+		asking := &Host{log: zap.NewNop(), stash: described(), pool: bound.NewPool(1 << 20)}
 		p := &pollers{host: asking, client: http.DefaultClient}
 		d, err := p.ask(context.Background(), strings.TrimPrefix(server.URL, "http://"))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -11,6 +11,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/retry"
 )
@@ -125,6 +126,22 @@
 	return nil
 }
 
+// heldShare is the divisor of the host's memory for what it holds of bytes from
+// outside that have not been passed on, defaultHeld the bytes where no memory is
+// set.
+const (
+	heldShare   = 8
+	defaultHeld = 32 << 20
+)
+
+// Pool returns the pool for what the host holds of bytes from outside.
+func (s Settings) Pool() *bound.Pool {
+	if s.Memory == 0 {
+		return bound.NewPool(defaultHeld)
+	}
+	return bound.NewPool(s.Memory << 20 / heldShare)
+}
+
 // policy returns the rule of placement; Check has accepted its name.
 func (s Settings) policy() place.Policy {
 	p, err := place.ParsePolicy(s.Placement)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/poison"
@@ -41,6 +42,9 @@
 // WithPolicy sets the rule that places requests with a prompt.
 func WithPolicy(p place.Policy) Option { return func(g *Gate) { g.SetPolicy(p) } }
 
+// WithPool sets the pool for what is held of requests and answers.
+func WithPool(p *bound.Pool) Option { return func(g *Gate) { g.pool = p } }
+
 // WithPoison sets the tracker of requests that crash their targets.
 func WithPoison(t *poison.Tracker) Option { return func(g *Gate) { g.poison = t } }
 
@@ -59,6 +63,7 @@
 	weights   Weights
 	poison    *poison.Tracker
 	log       *zap.Logger
+	pool      *bound.Pool
 	allowance retry.Allowance
 	distance  func(zone string) place.Distance
 	hosts     func() int
@@ -90,7 +95,7 @@
 // New returns a gate that knows no site yet and answers 503.
 func New(c Codec, f *fleet.Fleet, opts ...Option) *Gate {
 	g := &Gate{
-		codec: c, fleet: f, log: zap.NewNop(), keeper: noKeeper{}, weights: noWeights{},
+		codec: c, fleet: f, log: zap.NewNop(), keeper: noKeeper{}, weights: noWeights{}, pool: bound.NewPool(defaultHeld),
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.Defaults(),
--- a/internal/gate/handle.go
+++ b/internal/gate/handle.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/site"
@@ -23,6 +23,12 @@
 	// maxArrivals bounds the targets that one request reaches, run or not; a host
 	// whose beliefs are old would otherwise ask every target.
 	maxArrivals = 4
+	// defaultBody bounds a caller's body where the site does not, defaultHeld what is
+	// held of all requests and answers where no pool is set.
+	defaultBody = 16 << 20
+	defaultHeld = 64 << 20
+	// fullFor is after how long a caller comes back to a host that holds too much.
+	fullFor = time.Second
 	// answerMargin is kept back from a request's time for its way to the caller.
 	answerMargin = 20 * time.Millisecond
 )
@@ -41,6 +47,8 @@
 	end   time.Duration
 	print poison.Print
 	log   *zap.Logger
+	// held is the body in the pool.
+	held *bound.Held
 
 	w http.ResponseWriter
 	// tried holds the targets that failed or refused.
@@ -79,6 +87,7 @@
 	if !g.admit(j, r) {
 		return
 	}
+	defer j.held.Release()
 	ctx, cancel := context.WithTimeoutCause(r.Context(), j.end-wire.Boot(), errTimeout)
 	defer cancel()
 	g.serve(ctx, j)
@@ -108,17 +117,9 @@
 		g.refuse(j, "the route's service is not described", time.Second)
 		return false
 	}
-	body, err := readBody(r, j.site.Limits.BodyBytes)
-	if err != nil {
-		var denied *CallError
-		if errors.As(err, &denied) {
-			g.deny(j.w, j, denied.Status, denied.Problem)
-			return false
-		}
-		j.log.Info("left", zap.String("reason", "the body broke off"), zap.Error(err))
-		panic(http.ErrAbortHandler)
+	if !g.readBody(j, r) {
+		return false
 	}
-	j.Body = body
 	j.setEnd()
 	j.print = fingerprint(j)
 	return true
@@ -144,21 +145,32 @@
 	return j.route.Priority
 }
 
-func readBody(r *http.Request, limit int) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+// readBody reads a request's body. It answers the request itself if it returns
+// false.
+func (g *Gate) readBody(j *job, r *http.Request) bool {
+	if r.Body == nil {
+		r.Body = http.NoBody
 	}
+	limit := j.site.Limits.BodyBytes
 	if limit <= 0 {
-		return io.ReadAll(r.Body)
+		limit = defaultBody
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(b) > limit {
-		return nil, &CallError{Status: http.StatusRequestEntityTooLarge, Problem: "the body is too large"}
+	held, err := g.pool.Read(r.Body, limit)
+	var over *bound.LimitError
+	switch {
+	case err == nil:
+		j.held, j.Body = held, held.Bytes
+		return true
+	case errors.As(err, &over) && over.Total:
+		j.w.Header().Set("Connection", "close") // the rest of the body is not read
+		g.refuse(j, err.Error(), fullFor)
+	case errors.As(err, &over):
+		g.deny(j.w, j, http.StatusRequestEntityTooLarge, "the body is too large")
+	default:
+		j.log.Info("left", zap.String("reason", "the body broke off"), zap.Error(err))
+		panic(http.ErrAbortHandler)
 	}
-	return b, nil
+	return false
 }
 
 // serve tries targets until the request has its final answer.
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -14,8 +14,8 @@
 
 const (
 	readBytes = 8 << 10
-	// maxEvent bounds an event that has not ended.
-	maxEvent = 1 << 20
+	// maxEvent bounds an event that has not ended; one carries a few tokens.
+	maxEvent = 256 << 10
 	// maxAnswer bounds an answer that is held until it is complete.
 	maxAnswer = 16 << 20
 )
@@ -26,16 +26,23 @@
 // relay passes a stream on by whole events.
 func (g *Gate) relay(ctx context.Context, j *job, c choice, r Reply, resp *http.Response) (ending, fleet.Outcome) {
 	var held []byte
+	taken := 0
+	defer func() { g.pool.Give(taken) }()
 	chunk := make([]byte, readBytes)
 	first := true
 	for {
 		n, err := resp.Body.Read(chunk)
 		held = append(held, chunk[:n]...)
-		if n > 0 {
-			c.attempt.Heard()
-			j.heard.Store(int64(wire.Boot()))
+		if more := cap(held) - taken; more > 0 {
+			if full := g.pool.Take(taken, more); full != nil {
+				return g.streamBroke(ctx, j, full)
+			}
+			taken += more
 		}
 		if cut := bytes.LastIndex(held, eventEnd); cut >= 0 {
+			// Bytes without the end of an event are no sign of progress.
+			c.attempt.Heard()
+			j.heard.Store(int64(wire.Boot()))
 			if first {
 				first = false
 				j.first = wire.Boot() - j.Arrived
@@ -166,19 +173,18 @@
 
 // buffer reads a whole answer before the caller gets any of it.
 func (g *Gate) buffer(ctx context.Context, j *job, r Reply, resp *http.Response) (ending, fleet.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	held, err := g.pool.Read(resp.Body, maxAnswer)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return over{cause: context.Cause(ctx)}, fleet.Left
 	case err != nil:
 		return g.repeat(j, err.Error()), fleet.Failed
-	case len(body) > maxAnswer:
-		return g.repeat(j, "the answer is too long"), fleet.Failed
 	}
+	defer held.Release()
 	g.Metrics.Time("answer", wire.Boot()-j.Arrived)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(held.Bytes)))
 	g.head(j, r)
-	if _, err := j.w.Write(body); err != nil {
+	if _, err := j.w.Write(held.Bytes); err != nil {
 		return over{cause: context.Canceled}, fleet.Served
 	}
 	if r.Status >= http.StatusInternalServerError {
