--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,10 +25,10 @@
 
 // Row is a row of a table or its removal.
 type Row struct {
-	Key     string
-	Value   []byte
-	Version uint64
-	Removed bool
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Removed bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // Source reads tables.
@@ -70,6 +70,7 @@
 	handler Handler
 
 	pace    func() time.Duration
+	seen    func(version uint64)
 	version uint64
 	listed  bool
 	// lost is the boot time at which calls began to fail; zero while they work.
@@ -84,9 +85,13 @@
 // changes gather.
 func WithPace(f func() time.Duration) Option { return func(w *Watch) { w.pace = f } }
 
+// WithSeen sets a function that is called after each answered call, with the
+// version up to which the handler knows the table.
+func WithSeen(f func(version uint64)) Option { return func(w *Watch) { w.seen = f } }
+
 // NewWatch returns a watch of a table.
 func NewWatch(s Source, table string, h Handler, opts ...Option) *Watch {
-	w := &Watch{source: s, table: table, handler: h, pace: func() time.Duration { return 0 }}
+	w := &Watch{source: s, table: table, handler: h, pace: func() time.Duration { return 0 }, seen: func(uint64) {}}
 	for _, o := range opts {
 		o(w)
 	}
@@ -102,6 +107,7 @@
 		}
 		if err == nil {
 			w.regain()
+			w.seen(w.version)
 			if pause.For(ctx, w.pace()) != nil {
 				break
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,9 @@
 	othersHalf = 700 * time.Millisecond
 	// toldMemory is how long the word of another host counts.
 	toldMemory = 2500 * time.Millisecond
+	// hubMemory is the same for followers and hubs. A follower may tell another hub
+	// next, and its calls would count twice meanwhile.
+	hubMemory = 1200 * time.Millisecond
 	// versionGrace is how long a weight version learned from a reply goes before
 	// an older one in the list, which lags.
 	versionGrace = 4 * time.Second
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -94,8 +94,8 @@
 	})
 
 	It("adds what other hosts told, while that is fresh", func() {
-		f.Told("two", map[string]fleet.Flight{"a": {Calls: 3, Tokens: 30}})
-		f.Told("three", map[string]fleet.Flight{"a": {Calls: 1, Tokens: 5}})
+		f.Told("two", map[string]fleet.Flight{"a": {Calls: 3, Tokens: 30}}, fleet.Peer)
+		f.Told("three", map[string]fleet.Flight{"a": {Calls: 1, Tokens: 5}}, fleet.Peer)
 		s, _ := f.Get("a")
 		Expect(s.Others).To(Equal(fleet.Flight{Calls: 4, Tokens: 35}))
 		now += 3 * time.Second
--- a/internal/fleet/flight.go
+++ b/internal/fleet/flight.go
@@ -30,8 +30,22 @@
 type told struct {
 	at      time.Duration
 	flights map[string]Flight
+	teller  Teller
 }
 
+// Teller is what a host is to the one that it tells.
+type Teller int
+
+// Tellers.
+const (
+	// Peer tells every host itself.
+	Peer Teller = iota
+	// Follower tells this host alone, which tells the others for it.
+	Follower
+	// Hub tells for its followers, or for all hosts.
+	Hub
+)
+
 // Attempt is an attempt in flight.
 type Attempt struct {
 	fleet *Fleet
@@ -117,12 +131,12 @@
 	return Flight{Calls: int(math.Round(s.otherCalls(now)))}
 }
 
-// Told notes what another host has in flight.
-func (f *Fleet) Told(host string, flights map[string]Flight) {
+// Told notes what another host says to be in flight.
+func (f *Fleet) Told(host string, flights map[string]Flight, t Teller) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.forget(host)
-	f.others[host] = told{at: f.now(), flights: flights}
+	f.others[host] = told{at: f.now(), flights: flights, teller: t}
 	for id, flight := range flights {
 		if s, ok := f.targets[id]; ok {
 			s.told = s.told.Add(flight)
@@ -147,7 +161,11 @@
 	}
 	f.swept = now
 	for host, t := range f.others {
-		if now-t.at > toldMemory {
+		limit := toldMemory
+		if t.teller != Peer {
+			limit = hubMemory
+		}
+		if now-t.at > limit {
 			f.forget(host)
 		}
 	}
@@ -157,6 +175,10 @@
 func (f *Fleet) Flights() map[string]Flight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.own()
+}
+
+func (f *Fleet) own() map[string]Flight {
 	out := map[string]Flight{}
 	for id, s := range f.targets {
 		if s.flight != (Flight{}) {
@@ -165,3 +187,35 @@
 	}
 	return out
 }
+
+// Below returns what this host and its followers have in flight.
+func (f *Fleet) Below() map[string]Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgetOld(f.now())
+	out := f.own()
+	for _, o := range f.others {
+		if o.teller != Follower {
+			continue
+		}
+		for id, flight := range o.flights {
+			out[id] = out[id].Add(flight)
+		}
+	}
+	return out
+}
+
+// Except returns what all hosts but one have in flight, as far as they were heard.
+func (f *Fleet) Except(host string) map[string]Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgetOld(f.now())
+	but := f.others[host].flights
+	out := make(map[string]Flight, len(f.targets))
+	for id, s := range f.targets {
+		if sum := s.flight.Add(s.told).Sub(but[id]); sum != (Flight{}) {
+			out[id] = sum
+		}
+	}
+	return out
+}
--- a/internal/front/admin.go
+++ b/internal/front/admin.go
@@ -55,6 +55,11 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("decisions", h.gate.Metrics.Counters)
 	vars.Set("milliseconds", expvar.Func(func() any { return h.gate.Metrics.Quantiles() }))
+	vars.Set("tables", expvar.Func(func() any {
+		platform, hubs := h.tables.Counts()
+		return map[string]uint64{"platform": platform, "hubs": hubs}
+	}))
+	vars.Set("held", expvar.Func(func() any { return h.pool.Held() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +29,11 @@
 	leaseName   = "orders"
 	progressKey = "progress"
 	// leaseTTL and leasePace decide how soon another host takes over.
-	leaseTTL     = 1600 * time.Millisecond
-	leaseMargin  = 400 * time.Millisecond
-	leasePace    = 400 * time.Millisecond
+	leaseTTL    = 1600 * time.Millisecond
+	leaseMargin = 400 * time.Millisecond
+	leasePace   = 400 * time.Millisecond
+	// leaseWatch is the time between two looks at a lease that another host holds.
+	leaseWatch   = 700 * time.Millisecond
 	leaseTimeout = 500 * time.Millisecond
 	// contendPeriod is the time between two looks at who takes part in the lease.
 	contendPeriod = time.Second
@@ -44,6 +48,8 @@
 	// certainly fetches no state of older ones: it stops after fetchReplaced, and a
 	// fetch ends within stash.FetchLimit.
 	releaseAfter = fetchReplaced + stash.FetchLimit + 500*time.Millisecond
+	// tellKnown is for how long after a naming hosts tell on who knows of it.
+	tellKnown = 30 * time.Second
 	// freeBatch bounds the parts of one call.
 	freeBatch   = 200
 	freeTimeout = time.Second
@@ -77,7 +83,8 @@
 	d := &duty{host: h, table: h.platform.Table(dutyTable), busy: map[string]time.Duration{}, acks: map[string]map[string]ack{}}
 	d.lease = lease.New(
 		h.platform.Table(leaseTable), leaseName, h.settings.Name, lease.WithClock(wire.Now), lease.WithReadBack(), lease.WithSole(),
-		lease.WithTerms(leaseTTL, leaseMargin, h.settings.flight()), lease.WithPace(leasePace), lease.WithTimeout(leaseTimeout),
+		lease.WithTerms(leaseTTL, leaseMargin, h.settings.flight()), lease.WithPace(leasePace), lease.WithWatchPace(leaseWatch),
+		lease.WithTimeout(leaseTimeout),
 	)
 	source := roll.Source{Named: h.operator.Models, Engines: d.engines, Learn: h.fleet.Learn}
 	d.roller = roll.New(h.settings.Name, d.lease, h.platform.Targets(), d, source, roll.WithLog(h.log))
@@ -87,7 +94,7 @@
 func (d *duty) add(t *tree.Tree) {
 	t.Add("lease", d.contend)
 	t.Add("orders", d.roller.Run)
-	t.Add("progress", feed.NewWatch(d.host.platform, dutyTable, d, feed.WithPace(d.progressPace)).Run)
+	t.Add("progress", feed.NewWatch(d.host.tables, dutyTable, d, feed.WithPace(d.progressPace)).Run)
 	t.Add("free", d.free)
 }
 
@@ -223,6 +230,45 @@
 	}
 }
 
+// leads reports whether this host holds the lease.
+func (d *duty) leads() bool {
+	_, err := d.lease.Fence()
+	return err == nil
+}
+
+// known returns what the given hosts, or all if the list is nil, know of weights
+// that were named lately.
+func (d *duty) known(hosts []string) map[string]map[string]hail.Named {
+	recent := map[string]int{}
+	for model, n := range d.host.operator.Ages() {
+		if time.Duration(n.Age)*time.Millisecond < tellKnown {
+			recent[model] = n.Version
+		}
+	}
+	if len(recent) == 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if hosts == nil {
+		hosts = slices.Collect(maps.Keys(d.acks))
+	}
+	now := wire.Boot()
+	out := map[string]map[string]hail.Named{}
+	for _, h := range hosts {
+		for model, a := range d.acks[h] {
+			if a.version < recent[model] || recent[model] == 0 {
+				continue
+			}
+			if out[h] == nil {
+				out[h] = map[string]hail.Named{}
+			}
+			out[h][model] = hail.Named{Version: a.version, Age: (now - a.since).Milliseconds()}
+		}
+	}
+	return out
+}
+
 // unused returns the models, with their named versions, of which no host fetches
 // state of older versions any more: all engines have changed, or every host has
 // known of the newest version for long enough.
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -17,6 +17,7 @@
 	"sesamehill.example/sesamehill/internal/hail"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/poison"
+	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/site"
 	"sesamehill.example/sesamehill/internal/stash"
@@ -35,9 +36,10 @@
 	// fastListPace and slowListPace are the times between two looks at the list of
 	// targets of few and of many hosts. Neither exceeds a leavingShare of the time
 	// for which a leaving target takes requests.
-	fastListPace = 300 * time.Millisecond
-	slowListPace = time.Second
-	leavingShare = 0.4
+	fastListPace   = 300 * time.Millisecond
+	leaderListPace = 500 * time.Millisecond
+	slowListPace   = time.Second
+	leavingShare   = 0.4
 	// exitMargin is left between the end of the drain and SIGKILL.
 	exitMargin = 700 * time.Millisecond
 )
@@ -99,6 +101,8 @@
 	duty     *duty
 	members  *members
 	poison   *poison.Tracker
+	peers    *peers
+	tables   *relay.Relay
 	leaving  atomic.Bool
 }
 
@@ -125,6 +129,9 @@
 	)
 	h.duty = newDuty(h)
 	h.members = newMembers(h)
+	h.peers = newPeers(h.pool)
+	h.tables = relay.New(p, h.askTable, relay.WithLeader(h.members.leads), relay.WithHub(h.members.hub),
+		relay.WithSlow(memberTable, dutyTable))
 	h.operator.gate = h.gate
 	h.server = newServer(h.gate)
 	return h, nil
@@ -137,8 +144,11 @@
 	defer stop()
 	context.AfterFunc(ctx, func() { h.drain(stop) })
 	t := tree.New("host", tree.WithLog(h.log), tree.WithStop(time.Second))
-	t.Add("operator", feed.NewWatch(h.platform, h.platform.OperatorTable(), h.operator).Run)
-	t.Add("targets", feed.NewWatch(h.platform, h.platform.TargetTable(), h.lister, feed.WithPace(h.listPace)).Run)
+	t.Add("operator", feed.NewWatch(h.tables, h.platform.OperatorTable(), h.operator).Run)
+	t.Add("targets", feed.NewWatch(h.tables, h.platform.TargetTable(), h.lister, feed.WithPace(h.listPace)).Run)
+	t.Add("hosts", feed.NewWatch(
+		h.tables, memberTable, h.members, feed.WithPace(h.members.pace), feed.WithSeen(h.members.current),
+	).Run)
 	t.Add("front", func(ctx context.Context) error { return h.server.Serve(ctx, h.settings.Front) })
 	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readiness()) })
 	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.admin()) })
@@ -149,8 +159,8 @@
 	t.Add("stores", h.pollers.Run)
 	t.Add("members", h.members.Run)
 	t.Add("hail", hail.New(
-		h.settings.Peer, h.settings.Name, h.fleet, h.members.peers,
-		hail.WithLog(h.log), hail.WithChanged(h.gate.Kick), hail.WithWeights(h), hail.WithRoster(h.members),
+		h.settings.Peer, h.settings.Name, h.fleet, h.members.topology, hail.WithLog(h.log),
+		hail.WithChanged(h.gate.Kick), hail.WithWeights(h), hail.WithRoster(h.members), hail.WithTables(h.tables),
 	).Run)
 	h.duty.add(t)
 	return errors.Trace(t.Run(parts))
@@ -186,10 +196,14 @@
 }
 
 // listPace is the time between two looks at the list of targets. Entries change
-// often, and each change would otherwise wake every host.
+// often, and each change would otherwise wake every host. A leader, on which the
+// others depend, looks more often.
 func (h *Host) listPace() time.Duration {
 	pace := fastListPace
-	if h.members.count() > fewHosts {
+	switch {
+	case h.members.leads():
+		pace = leaderListPace
+	case h.members.count() > fewHosts:
 		pace = slowListPace
 	}
 	if drain := h.current().Drain; drain > 0 {
@@ -250,6 +264,15 @@
 	h.duty.acknowledged(host, model, n)
 }
 
+// Leads reports whether this host gives orders.
+func (h *Host) Leads() bool { return h.duty.leads() }
+
+// Known returns what hosts know of weights that were named lately.
+func (h *Host) Known(hosts []string) map[string]map[string]hail.Named { return h.duty.known(hosts) }
+
+// Acknowledged notes what another host knows, by the word of a hub.
+func (h *Host) Acknowledged(host, model string, n hail.Named) { h.duty.acknowledged(host, model, n) }
+
 // Progress returns the progress of this host's orders; nil if it gives none.
 func (h *Host) Progress() *roll.Progress { return h.duty.roller.Progress() }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -11,8 +10,8 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/pause"
-	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -20,41 +19,61 @@
 const (
 	// memberTable holds a row for each host.
 	memberTable = "sesame_hosts"
-	// memberPeriod is the time between two writes of a host's row; it grows with
-	// the number of hosts up to maxMemberPeriod, so that the platform's calls do not.
-	memberPeriod    = 2 * time.Second
-	maxMemberPeriod = 4 * time.Second
-	fewHosts        = 10
-	// memberMemory is how long a host counts after its row changed last.
+	// memberPeriod is the time between two writes of a host's row where hosts are
+	// few, promptPeriod that of those of many which contend for the lease, so that
+	// they are soon missed, and longPeriod the least of the rest. Each host adds
+	// perMember to that, so that the platform's calls do not grow with their number.
+	memberPeriod = 2 * time.Second
+	promptPeriod = 4 * time.Second
+	longPeriod   = 8 * time.Second
+	perMember    = 100 * time.Millisecond
+	fewHosts     = 10
+	// memberMemory is how long a host counts at least after its row changed last.
+	// Its row names a longer time, rowsMissed periods, if it writes more seldom.
 	memberMemory = 12 * time.Second
-	// confirmFor is how long a host uses kept state after its row was written last.
-	// It is shorter than memberMemory by more than a fetch can last.
-	confirmFor = 9 * time.Second
+	rowsMissed   = 3
+	// confirmFor is how long a host uses kept state after its row was written last,
+	// if it counts for memberMemory; it is shorter by confirmMargin, which is more
+	// than a fetch can last.
+	confirmMargin = 3 * time.Second
+	confirmFor    = memberMemory - confirmMargin
 	// vouchFor is how long a host that cannot write its row uses kept state after it
 	// heard a host that can. State is freed releaseAfter the last counted host knew
 	// of new weights; a fetch that begins within vouchFor has ended by then.
 	vouchFor      = 1200 * time.Millisecond
 	memberTimeout = 700 * time.Millisecond
+	// othersLimit is how old the rows may be for a decision about all hosts.
+	othersLimit = 8 * time.Second
+	// memberPace is the time between two looks at the rows of many hosts.
+	memberPace = 2 * time.Second
 	// assumedHosts is the number of hosts that a host assumes to share budgets
 	// with before it knows better; minHosts is the least it ever assumes.
 	assumedHosts = 8
 	minHosts     = 2
-	// contenders is the number of hosts that try to hold the lease.
-	contenders = 4
-	hubKey     = "hub"
 	// maxRecords bounds the records of crashing requests in a row.
 	maxRecords = 64
 )
 
 // member is a host's row.
 type member struct {
-	Host   string          `json:"host"`
-	Zone   string          `json:"zone"`
-	Peer   string          `json:"peer"`
-	Count  uint64          `json:"count"`
+	Host  string `json:"host"`
+	Zone  string `json:"zone"`
+	Peer  string `json:"peer"`
+	Count uint64 `json:"count"`
+	// Life is how long the host counts after this write, in milliseconds; zero
+	// stands for memberMemory.
+	Life int64 `json:"life,omitempty"`
+	// Width is the host's share of a core times the width of its link in megabits a
+	// second.
+	Width  float64         `json:"width,omitempty"`
 	Poison []poison.Record `json:"poison,omitempty"`
 }
 
+// life returns how long the host counts after a write of the row.
+func (m member) life() time.Duration {
+	return max(memberMemory, time.Duration(m.Life)*time.Millisecond)
+}
+
 // members writes the host's row and reads those of the others.
 type members struct {
 	host   *Host
@@ -68,10 +87,13 @@
 	// claim every budget.
 	heard time.Duration
 	// written is the boot time at which the last successful write of this host's row
-	// began.
-	written time.Duration
+	// began, and life how long the host counts since then.
+	written, life time.Duration
 	// vouched is the boot time at which a confirmed host was heard last.
 	vouched time.Duration
+	// last is the view of the hosts, used for a time.
+	last    *view
+	viewFor time.Duration
 }
 
 type sighting struct {
@@ -81,52 +103,89 @@
 }
 
 func newMembers(h *Host) *members {
-	return &members{host: h, table: h.platform.Table(memberTable), seen: map[string]sighting{}}
+	return &members{host: h, table: h.platform.Table(memberTable), seen: map[string]sighting{}, viewFor: viewFor}
 }
 
-// Run writes and reads until ctx ends.
+// Run writes this host's row until ctx ends.
 func (m *members) Run(ctx context.Context) error {
+	var next, last time.Duration
 	for {
-		m.write(ctx)
-		m.read(ctx)
-		period := memberPeriod
-		if m.count() > fewHosts {
-			period = maxMemberPeriod
+		if now := wire.Boot(); now >= next || m.news(now-last) {
+			period := m.period()
+			last, next = now, now+jitter(memberPeriod)
+			if m.write(ctx, period) {
+				next = now + jitter(period)
+			}
 		}
-		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
+		if pause.For(ctx, jitter(min(memberPeriod, max(next-wire.Boot(), 0)))) != nil {
 			return nil //nolint:nilerr // the end of ctx is the normal end
 		}
 	}
 }
 
-func (m *members) write(ctx context.Context) {
+// jitter returns a time near another one, so that hosts which started together do
+// not write together.
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
+
+// news reports whether a request has crashed a target within a time, which the
+// others should learn soon.
+func (m *members) news(within time.Duration) bool {
+	for _, r := range m.host.poison.Export(1, time.Now()) {
+		if time.Duration(slices.Min(r.Ages))*time.Millisecond < within {
+			return true
+		}
+	}
+	return false
+}
+
+// period is the time between two writes of this host's row.
+func (m *members) period() time.Duration {
+	n := m.count()
+	switch {
+	case n <= fewHosts:
+		return memberPeriod
+	case m.contends():
+		return promptPeriod
+	}
+	return max(longPeriod, time.Duration(n)*perMember)
+}
+
+// write writes this host's row, which is to be written again after a period.
+func (m *members) write(ctx context.Context, period time.Duration) bool {
 	m.writes++
+	own := m.host.settings
 	row := member{
-		Host: m.host.settings.Name, Zone: m.host.settings.Zone, Peer: m.host.settings.Peer, Count: m.writes,
-		Poison: m.host.poison.Export(maxRecords, time.Now()),
+		Host: own.Name, Zone: own.Zone, Peer: own.Peer, Count: m.writes, Width: own.width(),
+		Life: (rowsMissed * period).Milliseconds(), Poison: m.host.poison.Export(maxRecords, time.Now()),
 	}
 	b, err := json.Marshal(row)
 	if err != nil {
 		m.host.log.Error("row of this host not encoded", zap.Error(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	began := wire.Boot()
 	if err := m.table.Put(ctx, row.Host, b); err != nil {
 		m.host.log.Debug("row of this host not written", zap.Error(err))
-		return
+		return false
 	}
 	m.mu.Lock()
-	m.written = began
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.written, m.life = began, row.life()
+	return true
 }
 
 // Confirmed reports whether the other hosts still count on this one.
 func (m *members) Confirmed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.written != 0 && wire.Boot()-m.written < confirmFor
+	return m.written != 0 && wire.Boot()-m.written < max(m.life-confirmMargin, confirmFor)
 }
 
 // Vouched notes that a host was heard which the others count on.
@@ -152,11 +211,11 @@
 func (m *members) others(since time.Duration) ([]string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.heard == 0 || m.heard < since || wire.Boot()-m.heard > 2*maxMemberPeriod {
+	if m.heard == 0 || m.heard < since || wire.Boot()-m.heard > othersLimit {
 		return nil, false
 	}
 	var names []string
-	for _, n := range m.live() {
+	for _, n := range m.view().live {
 		if n != m.host.settings.Name {
 			names = append(names, n)
 		}
@@ -164,26 +223,64 @@
 	return names, true
 }
 
-func (m *members) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
-	defer cancel()
-	began := wire.Boot()
-	rows, _, err := m.host.platform.List(ctx, memberTable)
-	if err != nil {
-		m.host.log.Debug("rows of hosts not read", zap.Error(err))
-		return
+// Listed reads the rows of all hosts.
+func (m *members) Listed(rows []feed.Row) {
+	present := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		present[r.Key] = true
+	}
+	m.mu.Lock()
+	for name := range m.seen {
+		if !present[name] {
+			delete(m.seen, name)
+		}
 	}
+	m.mu.Unlock()
+	m.Changed(rows)
+}
+
+// Changed reads the rows that have changed.
+func (m *members) Changed(rows []feed.Row) {
 	for _, r := range rows {
+		if r.Removed {
+			m.mu.Lock()
+			delete(m.seen, r.Key)
+			m.mu.Unlock()
+			continue
+		}
 		var row member
 		if err := json.Unmarshal(r.Value, &row); err != nil || row.Host == "" {
 			m.host.log.Warn("row of a host not usable", zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		m.note(row, r.Version, began)
+		m.note(row, r.Version, wire.Boot())
 	}
+}
+
+// Lost says that the rows cannot be read; nobody is missed meanwhile.
+func (m *members) Lost(err error) {
+	m.host.log.Warn("dependency lost", zap.String("table", "hosts"), zap.Error(err))
+}
+
+// Regained says that the rows can be read again.
+func (m *members) Regained(after time.Duration) {
+	m.host.log.Info("dependency regained", zap.String("table", "hosts"), zap.Duration("after", after))
+}
+
+// current notes that the rows are known up to a version.
+func (m *members) current(version uint64) {
+	at := m.host.tables.Current(memberTable, version)
 	m.mu.Lock()
-	m.heard = began
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.heard = max(m.heard, at)
+}
+
+// pace is the time between two looks at the rows.
+func (m *members) pace() time.Duration {
+	if m.count() > fewHosts {
+		return memberPace
+	}
+	return 0
 }
 
 func (m *members) note(row member, version uint64, now time.Duration) {
@@ -209,120 +306,16 @@
 	if m.heard == 0 {
 		return assumedHosts
 	}
-	return max(len(m.live()), minHosts)
-}
-
-// peers returns the addresses of the other hosts, those of this region and the
-// rest.
-func (m *members) peers() (near, far []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, s := range m.seen {
-		if m.gone(s) || name == m.host.settings.Name || s.Peer == "" {
-			continue
-		}
-		if m.host.settings.Zones[s.Zone] == m.host.settings.Region {
-			near = append(near, s.Peer)
-			continue
-		}
-		far = append(far, s.Peer)
-	}
-	return near, far
-}
-
-// hubs returns the addresses of the hosts of the region that ask the stores, in
-// the order in which this host should learn from them, and whether this host is
-// one of them. There are none while few hosts are alive.
-func (m *members) hubs() (addresses []string, self bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.live()) <= directHosts {
-		return nil, true
-	}
-	chosen := m.regionHubs()
-	own := m.host.settings
-	if slices.ContainsFunc(chosen, func(s sighting) bool { return s.Host == own.Name }) {
-		return nil, true
-	}
-	slices.SortFunc(chosen, func(a, b sighting) int {
-		if near := cmp.Compare(bit(a.Zone != own.Zone), bit(b.Zone != own.Zone)); near != 0 {
-			return near
-		}
-		return cmp.Compare(place.Score(own.Name, b.Host), place.Score(own.Name, a.Host))
-	})
-	for _, s := range chosen {
-		addresses = append(addresses, s.Peer)
-	}
-	return addresses, false
-}
-
-// regionHubs returns the hubs of this host's region. They are spread over its
-// zones, so that most hosts learn from one of their own zone.
-func (m *members) regionHubs() []sighting {
-	var ranked []sighting
-	for _, s := range m.seen {
-		if !m.gone(s) && m.host.settings.Zones[s.Zone] == m.host.settings.Region {
-			ranked = append(ranked, s)
-		}
-	}
-	slices.SortFunc(ranked, func(a, b sighting) int {
-		return cmp.Compare(place.Score(hubKey, b.Host), place.Score(hubKey, a.Host))
-	})
-	// turn is a host's rank within its zone.
-	turn := make(map[string]int, len(ranked))
-	inZone := map[string]int{}
-	for _, s := range ranked {
-		turn[s.Host] = inZone[s.Zone]
-		inZone[s.Zone]++
-	}
-	slices.SortStableFunc(ranked, func(a, b sighting) int { return cmp.Compare(turn[a.Host], turn[b.Host]) })
-	return ranked[:min(hubs, len(ranked))]
-}
-
-func bit(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// contends reports whether this host should try to hold the lease: only a few
-// hosts do, so that the platform's calls do not grow with their number. None does
-// before it has read the rows, which needs the same store as the lease.
-func (m *members) contends() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.heard == 0 {
-		return false
-	}
-	names := m.live()
-	if len(names) <= contenders || !slices.Contains(names, m.host.settings.Name) {
-		return true
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Compare(place.Score(leaseName, b), place.Score(leaseName, a))
-	})
-	return slices.Contains(names[:contenders], m.host.settings.Name)
+	return max(len(m.view().live), minHosts)
 }
 
 // names returns the hosts that are alive.
 func (m *members) names() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live()
-}
-
-func (m *members) live() []string {
-	var names []string
-	for name, s := range m.seen {
-		if !m.gone(s) {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
+	return m.view().live
 }
 
 // gone reports whether a host's row had not changed for long when the rows were
 // read last.
-func (m *members) gone(s sighting) bool { return m.heard-s.at >= memberMemory }
+func (m *members) gone(s sighting) bool { return m.heard-s.at >= s.life() }
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -1,12 +1,16 @@
 package front
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/stash"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
 func TestFront(t *testing.T) {
@@ -59,7 +63,7 @@
 				contending++
 			}
 		}
-		Expect(direct).To(Equal(hubs))
+		Expect(direct).To(Equal(storeHubs))
 		Expect(contending).To(Equal(contenders))
 	})
 
@@ -80,7 +84,7 @@
 				direct[s.Zone]++
 				continue
 			}
-			Expect(addresses).To(HaveLen(hubs))
+			Expect(addresses).To(HaveLen(storeHubs))
 			Expect(addresses[0]).To(HavePrefix(s.Zone + "/"))
 		}
 		Expect(direct).To(Equal(map[string]int{"sul-a": 1, "sul-b": 1, "sul-c": 1}))
@@ -99,6 +103,62 @@
 		Expect(m.host.listPace()).To(Equal(slowListPace))
 	})
 
+	// Guards against control that grows with the number of hosts: most of them must
+	// follow a hub, and one host of each region alone the platform's tables.
+	It("names few hubs and one leader of each region, the widest hosts first", func() {
+		m.host.settings.Zones = map[string]string{"sul-a": "sul", "sul-b": "sul", "leste-a": "leste"}
+		zones := []string{"sul-a", "sul-b", "leste-a"}
+		for i := range 90 {
+			name := fmt.Sprint("host-", i)
+			m.seen[name] = sighting{at: time.Minute, member: member{
+				Host: name, Zone: zones[i%3], Peer: name + ":1", Width: float64(10 + i/45),
+			}}
+		}
+		m.heard = time.Minute
+		leaders, hubs, followers := 0, map[string]int{}, 0
+		for name, s := range m.seen {
+			m.host.settings.Name, m.host.settings.Zone = name, s.Zone
+			m.host.settings.Region = m.host.settings.Zones[s.Zone]
+			t := m.topology()
+			if m.leads() {
+				leaders++
+				Expect(t.Leader).To(Equal(s.Peer))
+			}
+			if m.hub() {
+				hubs[s.Zone]++
+				Expect(s.Width).To(Equal(11.0))
+				Expect(len(t.Near) + len(t.Far)).To(Equal(4))
+				continue
+			}
+			followers++
+			Expect(t.Near).To(BeEmpty())
+			Expect(m.seen[strings.TrimSuffix(t.Hubs[0], ":1")].Zone).To(Equal(s.Zone))
+		}
+		Expect(leaders).To(Equal(2))
+		Expect(hubs).To(Equal(map[string]int{"sul-a": 1, "sul-b": 2, "leste-a": 2}))
+		Expect(followers).To(Equal(85))
+	})
+
+	// Guards against hosts that are missed because they write their rows seldom, and
+	// against state that is freed while such a host still fetches it.
+	It("counts a host for as long as its row says, and longer than it fetches", func() {
+		m.seen["a"] = sighting{member: member{Host: "a", Zone: "sul-a", Life: 60000}, at: time.Minute}
+		m.heard = time.Minute + 59*time.Second
+		Expect(m.names()).To(ConsistOf("a"))
+		m.heard = time.Minute + 60*time.Second
+		Expect(m.names()).To(BeEmpty())
+		m.written, m.life = wire.Boot()-56*time.Second, time.Minute
+		Expect(m.Confirmed()).To(BeTrue())
+		m.written = wire.Boot() - 57*time.Second
+		Expect(m.Confirmed()).To(BeFalse())
+		Expect(confirmMargin).To(BeNumerically(">", stash.FetchLimit))
+	})
+
+	It("knows nobody, and no leader, before the first rows", func() {
+		Expect(m.leads()).To(BeFalse())
+		Expect(m.topology()).To(BeZero())
+	})
+
 	It("contends for no lease before the rows were read", func() {
 		Expect(m.contends()).To(BeFalse())
 	})
--- a/internal/front/peer_test.go
+++ b/internal/front/peer_test.go
@@ -49,8 +49,8 @@
 			return stash.Held{Key: stash.Key{Scope: "m/1", Part: part}, Tokens: 10}
 		}
 		hub.stash.Listed(store, stash.Listing{Epoch: 4, Next: 1, Held: []stash.Held{held("aa"), held("bb")}}, wire.Boot())
-		asking := &Host{log: zap.NewNop(), stash: described(), pool: bound.NewPool(1 << 20)}
-		p := &pollers{host: asking, client: http.DefaultClient}
+		asking := &Host{log: zap.NewNop(), stash: described(), peers: newPeers(bound.NewPool(1 << 20))}
+		p := &pollers{host: asking}
 		d, err := p.ask(context.Background(), strings.TrimPrefix(server.URL, "http://"))
 		Expect(err).NotTo(HaveOccurred())
 		asking.stash.Import(d, wire.Boot())
--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -14,11 +13,6 @@
 )
 
 const (
-	// directHosts is the number of hosts up to which each asks the stores itself;
-	// a store takes few observers.
-	directHosts = 9
-	// hubs is the number of hosts of a region that ask the stores for the others.
-	hubs = 3
 	// roleFor is the time between two looks at which hosts ask the stores.
 	roleFor = time.Second
 	// learnPace is the least time between two questions to a hub: some store changes
@@ -29,8 +23,7 @@
 // pollers learns what the stores hold: from the stores themselves, or from hosts
 // that ask them.
 type pollers struct {
-	host   *Host
-	client *http.Client
+	host *Host
 	// refreshed is the boot time of the last answer about all stores.
 	refreshed time.Duration
 
@@ -46,8 +39,7 @@
 
 func newPollers(h *Host) *pollers {
 	return &pollers{
-		host: h, client: &http.Client{Transport: wire.NewTransport(wire.Kept)},
-		direct: true, running: map[string]context.CancelFunc{},
+		host: h, direct: true, running: map[string]context.CancelFunc{},
 	}
 }
 
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -32,6 +32,11 @@
 	Level string `toml:"level"`
 	// Memory is the limit in megabytes.
 	Memory int64 `toml:"memory"`
+	// Link is the width of the host's link in megabits a second and Share its share
+	// of a core. The widest hosts of many do more for the others; zero stands for
+	// unknown.
+	Link  float64 `toml:"link,omitempty"`
+	Share float64 `toml:"share,omitempty"`
 	// Grace is the time from SIGTERM to SIGKILL in seconds.
 	Grace float64 `toml:"grace"`
 	// Drain is how long a leaving target takes requests, in milliseconds.
@@ -116,6 +121,8 @@
 		return &SettingsError{Field: "grace", Problem: "is not positive"}
 	case s.Lease < 0 || s.Drain < 0 || s.Memory < 0:
 		return &SettingsError{Field: "lease, drain or memory", Problem: "is negative"}
+	case s.Link < 0 || s.Share < 0:
+		return &SettingsError{Field: "link or share", Problem: "is negative"}
 	}
 	if _, err := place.ParsePolicy(s.Placement); err != nil {
 		return &SettingsError{Field: "placement", Problem: "is not usable: " + err.Error()}
@@ -126,6 +133,9 @@
 	return nil
 }
 
+// width tells how much a host can do for others.
+func (s Settings) width() float64 { return s.Link * s.Share }
+
 // heldShare is the divisor of the host's memory for what it holds of bytes from
 // outside that have not been passed on, defaultHeld the bytes where no memory is
 // set.
--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -25,7 +25,7 @@
 				told[id] = fleet.Flight{Calls: 1, Tokens: 900}
 			}
 			for i := range size.hosts {
-				f.Told(fmt.Sprint("host-", i), told)
+				f.Told(fmt.Sprint("host-", i), told, fleet.Peer)
 			}
 			g := New(nil, f)
 			j := &job{
--- a/internal/hail/bench_test.go
+++ b/internal/hail/bench_test.go
@@ -42,7 +42,7 @@
 				if err := cbor.Unmarshal(out, &in); err != nil {
 					b.Fatal(err)
 				}
-				f.Told(in.Host, in.Flights)
+				f.Told(in.Host, in.Flights, fleet.Peer)
 			}
 		})
 	}
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -1,43 +1,42 @@
 // Package hail tells the hosts of a region what each of them has in flight.
 //
 // Targets report their load late, and each host sees only its own requests. A
-// host sends a small datagram several times a second to the hosts that it knows.
-// A datagram that is lost is made good by the next; nothing depends on one.
+// host sends a small datagram several times a second. A datagram that is lost is
+// made good by the next; nothing depends on one.
+//
+// Few hosts tell each other directly. Where there are many, most of them follow a
+// hub: a follower tells one hub, which answers with the sum of what all others
+// have in flight; hubs tell each other the sums of their followers. The traffic of
+// a host then does not grow with the number of hosts. A hub that stays silent for
+// three questions is left for the next one. Whatever one host says about named
+// weights and loading engines reaches all others by the same way.
 //
 // # Usage
 //
-//	h := hail.New(address, self, fleet, peers)
+//	h := hail.New(address, self, fleet, topology)
 //	tree.Add("hail", h.Run)
+//
+// # Units
+//
+// Ages are milliseconds on the boot clock of their sender.
 package hail
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/fleet"
-	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
 )
 
-const (
-	// minPeriod and maxPeriod bound the time between two datagrams to a host, and
-	// perPeer is what each further host adds, so that the traffic stays flat.
-	minPeriod = 60 * time.Millisecond
-	maxPeriod = 500 * time.Millisecond
-	perPeer   = 12 * time.Millisecond
-	// farPerRound is the number of hosts of other regions for which a round more is
-	// left out, as the links between regions are narrow.
-	farPerRound = 5
-	// maxDatagram bounds a datagram.
-	maxDatagram = 32 << 10
-)
+// maxDatagram bounds a datagram.
+const maxDatagram = 32 << 10
 
 // Message is what a host tells the others.
 type Message struct {
@@ -51,24 +50,63 @@
 	Down []string `cbor:"5,keyasint,omitempty"`
 	// Confirmed says that the host has written its row on the platform lately.
 	Confirmed bool `cbor:"6,keyasint,omitempty"`
+	// Kind says what the flights are and whether an answer is wanted.
+	Kind Kind `cbor:"7,keyasint,omitempty"`
+	// Leads says that the sender gives orders and needs to know what others know.
+	Leads bool `cbor:"8,keyasint,omitempty"`
+	// Known are the weights that hosts know to be named, by host and model.
+	Known map[string]map[string]Named `cbor:"9,keyasint,omitempty"`
+	// Tables are the versions of the platform's tables that the sender knows.
+	Tables map[string]relay.Seen `cbor:"10,keyasint,omitempty"`
 }
 
+// Kind is the kind of a message.
+type Kind int
+
+// Kinds of messages.
+const (
+	// News tells what a host and its followers have in flight.
+	News Kind = iota
+	// Question is the news of a follower, which wants an answer.
+	Question
+	// Answer tells what all others have in flight.
+	Answer
+)
+
 // Named is a weight version and how long ago it was named, in milliseconds.
 type Named struct {
 	Version int   `cbor:"1,keyasint"`
 	Age     int64 `cbor:"2,keyasint"`
 }
 
+// Topology says whom a host tells.
+type Topology struct {
+	// Near are the hosts of the region, Far those of other regions, to which the
+	// host sends its news. Of many hosts only hubs have any.
+	Near, Far []string
+	// Hubs are those that a follower asks, the first one before the others.
+	Hubs []string
+	// Leader is the hub that tells the other hubs what the platform's tables say.
+	Leader string
+}
+
 // Weights is what a host knows about named weights.
 type Weights interface {
 	// Progress returns the progress of this host's orders; nil if it gives none.
 	Progress() *roll.Progress
 	// Learn takes over the progress of another host.
 	Learn(p roll.Progress)
+	// Leads reports whether this host gives orders.
+	Leads() bool
 	// Ages returns the versions whose age the host knows.
 	Ages() map[string]Named
 	// Heard takes over what another host knows.
 	Heard(host, model string, n Named)
+	// Known returns what the given hosts know of weights that were named lately; all
+	// hosts if the list is nil.
+	Known(hosts []string) map[string]map[string]Named
+	// Acknowledged notes what another host knows, by the word of a hub.
+	Acknowledged(host, model string, n Named)
 }
 
 // Roster knows which hosts have written their rows on the platform lately.
@@ -79,24 +117,45 @@
 	Vouched()
 }
 
+// Tables knows the versions of the platform's tables.
+type Tables interface {
+	// Versions returns those that this host knows to be current.
+	Versions() map[string]relay.Seen
+	// Announced takes over those of a hub.
+	Announced(hub string, versions map[string]relay.Seen)
+}
+
 // Check returns an error if the message cannot be used.
 func (m Message) Check() error {
-	if m.Host == "" {
+	switch {
+	case m.Host == "":
 		return errors.New("message names no host; its sender must set one")
+	case m.Kind < News || m.Kind > Answer:
+		return errors.Errorf("message of host %q is of unknown kind %d; run the same version on all hosts", m.Host, m.Kind)
 	}
 	return nil
 }
 
 // Hailer sends and receives messages.
 type Hailer struct {
-	address string
-	host    string
-	fleet   *fleet.Fleet
-	peers   func() (near, far []string)
-	changed func()
-	weights Weights
-	roster  Roster
-	log     *zap.Logger
+	address  string
+	host     string
+	fleet    *fleet.Fleet
+	topology func() Topology
+	changed  func()
+	weights  Weights
+	roster   Roster
+	tables   Tables
+	log      *zap.Logger
+
+	mu sync.Mutex
+	// hubs chooses the hub to ask; leader is the one that tells this hub.
+	hubs   choice
+	leader string
+	// followers holds when each follower was heard last.
+	followers map[string]time.Duration
+	// progress is that of the host that gives orders, as it was heard last.
+	progress heardProgress
 }
 
 // Option changes a default of New.
@@ -111,13 +170,18 @@
 // WithRoster sets what knows whose rows on the platform are fresh.
 func WithRoster(r Roster) Option { return func(h *Hailer) { h.roster = r } }
 
+// WithTables sets what knows the versions of the platform's tables.
+func WithTables(t Tables) Option { return func(h *Hailer) { h.tables = t } }
+
 // WithWeights sets what is told about named weights.
 func WithWeights(w Weights) Option { return func(h *Hailer) { h.weights = w } }
 
-// New returns a hailer that listens at an address; peers returns the addresses
-// of the other hosts of the region and of the other regions.
-func New(address, host string, f *fleet.Fleet, peers func() (near, far []string), opts ...Option) *Hailer {
-	h := &Hailer{address: address, host: host, fleet: f, peers: peers, changed: func() {}, log: zap.NewNop()}
+// New returns a hailer that listens at an address.
+func New(address, host string, f *fleet.Fleet, t func() Topology, opts ...Option) *Hailer {
+	h := &Hailer{
+		address: address, host: host, fleet: f, topology: t, changed: func() {}, log: zap.NewNop(),
+		followers: map[string]time.Duration{},
+	}
 	for _, o := range opts {
 		o(h)
 	}
@@ -141,74 +205,3 @@
 	defer end()
 	return h.receive(ctx, conn)
 }
-
-func (h *Hailer) send(ctx context.Context, conn net.PacketConn) {
-	for round := 0; ; round++ {
-		peers, far := h.peers()
-		period := min(max(time.Duration(len(peers))*perPeer, minPeriod), maxPeriod)
-		if round%farRounds(len(far)) == 0 {
-			peers = append(peers, far...)
-		}
-		if pause.For(ctx, period*3/4+time.Duration(rand.Int64N(int64(period/2)))) != nil {
-			return
-		}
-		m := Message{Host: h.host, Flights: h.fleet.Flights(), Down: h.fleet.Unreachable()}
-		if h.weights != nil {
-			m.Named, m.Progress = h.weights.Ages(), h.weights.Progress()
-		}
-		m.Confirmed = h.roster != nil && h.roster.Confirmed()
-		b, err := cbor.Marshal(m)
-		if err != nil || len(b) > maxDatagram {
-			h.log.Warn("message to hosts not sent", zap.Int("bytes", len(b)), zap.Error(err))
-			continue
-		}
-		for _, p := range peers {
-			to, err := net.ResolveUDPAddr("udp", p)
-			if err != nil {
-				h.log.Debug("address of a host not usable", zap.String("address", p), zap.Error(err))
-				continue
-			}
-			_, _ = conn.WriteTo(b, to) // the next message makes up for a lost one
-		}
-	}
-}
-
-func (h *Hailer) heard(m Message) {
-	if h.weights == nil {
-		return
-	}
-	if m.Progress != nil {
-		h.weights.Learn(*m.Progress)
-	}
-	for model, n := range m.Named {
-		h.weights.Heard(m.Host, model, n)
-	}
-}
-
-// farRounds is the number of rounds of which hosts of other regions get one.
-func farRounds(far int) int { return 1 + far/farPerRound }
-
-func (h *Hailer) receive(ctx context.Context, conn net.PacketConn) error {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, _, err := conn.ReadFrom(buf)
-		if ctx.Err() != nil {
-			return nil //nolint:nilerr // the end of ctx is the normal end
-		}
-		if err != nil {
-			return errors.Trace(err)
-		}
-		var m Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil || m.Check() != nil {
-			h.log.Debug("message of a host not usable", zap.Error(err))
-			continue
-		}
-		h.fleet.Told(m.Host, m.Flights)
-		h.fleet.Suspect(m.Host, m.Down)
-		h.heard(m)
-		if m.Confirmed && h.roster != nil {
-			h.roster.Vouched()
-		}
-		h.changed()
-	}
-}
--- a/internal/hail/hail_test.go
+++ b/internal/hail/hail_test.go
@@ -70,7 +70,7 @@
 			fleets[i].Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
 		}
 		for i := range addresses {
-			peers := func() (near, far []string) { return []string{addresses[1-i]}, nil }
+			peers := func() Topology { return Topology{Near: []string{addresses[1-i]}} }
 			h := New(addresses[i], string(rune('a'+i)), fleets[i], peers, WithRoster(rosters[i]))
 			running.Go(func() {
 				defer GinkgoRecover()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,8 +40,13 @@
 // live.
 func WithPace(d time.Duration) Option { return func(l *Lease) { l.pace = d } }
 
+// WithWatchPace sets the time between two steps while the lease is not held. The
+// default is that of WithPace.
+func WithWatchPace(d time.Duration) Option { return func(l *Lease) { l.watch = d } }
+
 // WithReadBack makes the lease read its row after each write, for tables whose
-// row versions do not count by one.
+// row versions do not count by one. A table.Versioned that states the version of
+// what it wrote is read back only if a write failed.
 func WithReadBack() Option { return func(l *Lease) { l.readBack = true } }
 
 // WithTimeout sets the deadline of one table operation. The default is 1 s.
@@ -64,6 +69,7 @@
 	margin  time.Duration
 	flight  time.Duration
 	pace    time.Duration
+	watch   time.Duration
 	// sole is set if a host runs one process at a time.
 	sole bool
 	// readBack is set if the version of a written row is not known in advance.
@@ -116,6 +122,9 @@
 	for {
 		_ = l.Step(ctx) // Fence reports what matters; the next step tries again
 		pause := l.pace
+		if l.watch > 0 && l.current().Record.Fence == 0 {
+			pause = l.watch
+		}
 		if pause <= 0 {
 			pause = l.ttl / 3
 		}
@@ -194,14 +203,14 @@
 	op := table.Op{Key: rowPrefix + l.name, Version: h.Version, Value: r.Encode()}
 	sent := l.now()
 	limited, cancel := context.WithTimeout(ctx, l.timeout)
-	err := l.table.Write(limited, []table.Op{op})
+	version, err := l.apply(limited, op)
 	cancel()
 	var down *table.DownError
 	if errors.As(err, &down) {
 		return juju.Annotatef(err, "write lease %q", l.name)
 	}
-	row := table.Row{Key: op.Key, Version: op.Version + 1, Value: op.Value}
-	if err != nil || l.readBack {
+	row := table.Row{Key: op.Key, Version: version, Value: op.Value}
+	if err != nil || version == 0 {
 		if row, err = l.read(ctx); err != nil {
 			return juju.Annotatef(err, "read lease %q back", l.name)
 		}
@@ -219,6 +228,18 @@
 	return nil
 }
 
+// apply writes the row and returns its version; zero if that is not known.
+func (l *Lease) apply(ctx context.Context, op table.Op) (uint64, error) {
+	if t, ok := l.table.(table.Versioned); ok {
+		return t.WriteVersion(ctx, []table.Op{op})
+	}
+	err := l.table.Write(ctx, []table.Op{op})
+	if l.readBack {
+		return 0, err
+	}
+	return op.Version + 1, err
+}
+
 // reconcile handles a renewal that the row doesn't show. An earlier renewal may
 // have arrived late, which moves the version but not the deadline; a row of
 // another acquisition ends the lease.
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/feed"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+var errDown = errors.New("the platform is down")
+
+// platform is a table whose rows are k1, k2 and so on, one for each version.
+type platform struct {
+	mu      sync.Mutex
+	version uint64
+	down    bool
+	calls   int
+	changed chan struct{}
+}
+
+func newPlatform() *platform { return &platform{version: 1, changed: make(chan struct{})} }
+
+func (p *platform) bump() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *platform) set(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *platform) called() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+func (p *platform) look(after uint64) (rows []feed.Row, version uint64, changed chan struct{}, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, 0, nil, errDown
+	}
+	for v := after + 1; v <= p.version; v++ {
+		rows = append(rows, feed.Row{Key: fmt.Sprint("k", v), Version: v})
+	}
+	return rows, p.version, p.changed, nil
+}
+
+func (p *platform) count() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+}
+
+func (p *platform) List(context.Context, string) ([]feed.Row, uint64, error) {
+	p.count()
+	rows, version, _, err := p.look(0)
+	return rows, version, err
+}
+
+func (p *platform) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]feed.Row, uint64, error) {
+	p.count()
+	end := time.After(wait)
+	for {
+		rows, version, changed, err := p.look(after)
+		if err != nil || len(rows) > 0 {
+			return rows, version, err
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// Guards against hosts that know less, or know it later, because they learn what
+// the platform's tables say from others.
+var _ = Describe("a relay", func() {
+	const table = "servers"
+	var p *platform
+	var hub, follower *Relay
+	var ctx context.Context
+	asks := 0
+	BeforeEach(func() {
+		p, asks = newPlatform(), 0
+		yes := func() bool { return true }
+		hub = New(p, nil, WithLeader(yes), WithHub(yes))
+		follower = New(p, func(_ context.Context, _ string, q Question) (Answer, error) {
+			asks++
+			return hub.Tell(q), nil
+		})
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(context.Background(), 10*time.Second)
+		DeferCleanup(stop)
+		for _, r := range []*Relay{hub, follower} {
+			_, version, err := r.List(ctx, table)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(version).To(Equal(uint64(1)))
+		}
+	})
+	announce := func() { follower.Announced("hub", hub.Versions()) }
+	change := func() {
+		p.bump()
+		_, _, err := hub.Changes(ctx, table, p.version-1, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	It("brings the changes of a hub without a call to the platform", func() {
+		change()
+		change()
+		announce()
+		before := p.called()
+		rows, version, err := follower.Changes(ctx, table, 1, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(3)))
+		Expect(rows).To(HaveLen(2))
+		Expect([]string{rows[0].Key, rows[1].Key}).To(Equal([]string{"k2", "k3"}))
+		Expect(p.called()).To(Equal(before))
+		Expect(asks).To(Equal(1))
+		Expect(follower.Tell(Question{Table: table, After: 1}).Rows).To(HaveLen(2), "a follower tells it on")
+	})
+
+	It("asks nobody while nothing has changed", func() {
+		announce()
+		before := p.called()
+		rows, version, err := follower.Changes(ctx, table, 1, 100*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(BeEmpty())
+		Expect(version).To(Equal(uint64(1)))
+		Expect(p.called()).To(Equal(before))
+		Expect(asks).To(BeZero())
+	})
+
+	It("wakes at the news of a change", func() {
+		announce()
+		go func() {
+			defer GinkgoRecover()
+			time.Sleep(50 * time.Millisecond)
+			change()
+			announce()
+		}()
+		began := time.Now()
+		_, version, err := follower.Changes(ctx, table, 1, 5*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(2)))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+
+	// A silent, frozen or cut hub says nothing; what it said grows old.
+	It("is on its own within two seconds after the hub's last word", func() {
+		announce()
+		began := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			p.bump()
+		}()
+		_, version, err := follower.Changes(ctx, table, 1, 6*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(2)))
+		Expect(time.Since(began)).To(BeNumerically("<=", 2*time.Second))
+	})
+
+	It("is on its own at once when the hub cannot read the table", func() {
+		p.set(true)
+		_, _, err := hub.Changes(ctx, table, 1, time.Second)
+		Expect(err).To(MatchError(errDown))
+		Expect(hub.Versions()).To(BeEmpty())
+		announce()
+		_, _, err = follower.Changes(ctx, table, 1, time.Second)
+		Expect(err).To(MatchError(errDown))
+	})
+
+	It("takes nothing from a hub that is behind", func() {
+		announce()
+		p.bump()
+		before := p.called()
+		rows, version, err := follower.Changes(ctx, table, 2, 50*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(BeEmpty())
+		Expect(version).To(Equal(uint64(2)))
+		Expect(p.called()).To(Equal(before + 1))
+	})
+
+	It("reads the platform if the hub does not know all changes", func() {
+		p.bump()
+		p.bump()
+		hub = New(p, nil)
+		_, _, err := hub.List(ctx, table) // it knows nothing of versions 2 and 3
+		Expect(err).NotTo(HaveOccurred())
+		announce()
+		rows, version, err := follower.Changes(ctx, table, 1, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(3)))
+		Expect(rows).To(HaveLen(2))
+		Expect(asks).To(Equal(1))
+	})
+
+	It("knows since when a table is current", func() {
+		now := follower.now()
+		Expect(follower.Current(table, 1)).To(BeNumerically("<=", now))
+		follower.Announced("hub", map[string]Seen{table: {Version: 2, Age: 100}})
+		Expect(follower.Current(table, 1)).To(BeNumerically("<=", now))
+		Expect(follower.Current(table, 2)).To(BeNumerically(">", now-time.Second))
+	})
+
+	It("bounds what a log holds", func() {
+		var l log
+		l.begin(1, time.Second)
+		for i := range uint64(2*maxKeys + 10) {
+			l.add(1+i, []feed.Row{{Key: fmt.Sprint(i), Version: 2 + i}}, 2+i, time.Second)
+			Expect(len(l.rows)).To(BeNumerically("<=", maxKeys))
+		}
+		_, ok := l.after(1)
+		Expect(ok).To(BeFalse())
+		rows, ok := l.after(l.version - 1)
+		Expect(ok).To(BeTrue())
+		Expect(rows).To(HaveLen(1))
+	})
+})
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -33,6 +33,12 @@
 	Write(ctx context.Context, ops []Op) error
 }
 
+// Versioned is a table that tells the version of the rows that it has written.
+type Versioned interface {
+	// WriteVersion applies all ops or none and returns the version of their rows.
+	WriteVersion(ctx context.Context, ops []Op) (uint64, error)
+}
+
 // Objects is the platform's object store.
 type Objects interface {
 	Get(ctx context.Context, name string) ([]byte, error)
