Price a fetch by the narrower of the engine's and the store's link

Stores there have links an eighth as wide as the engines' (140 and 480 against 1,100 Gbit/s); elsewhere they are wider. So fetches were begun that lost against reading, and each held up those behind it.

Change: the narrower link counts, and a fetch under way counts for as long as it keeps the engine's link.

--- a/internal/fleet/flight.go
+++ b/internal/fleet/flight.go
@@ -10,8 +10,8 @@
 	Calls int `json:"calls" cbor:"1,keyasint,omitempty"`
 	// Tokens is the memory that they need.
 	Tokens int `json:"tokens" cbor:"2,keyasint,omitempty"`
-	// Unread are prompt tokens still to be read, Fetching those still to be
-	// fetched.
+	// Unread are prompt tokens still to be read. Fetching are those still to be
+	// fetched, in tokens that take as long over the target's own link.
 	Unread   int `json:"unread" cbor:"3,keyasint,omitempty"`
 	Fetching int `json:"fetching" cbor:"4,keyasint,omitempty"`
 }
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -38,7 +38,9 @@
 		need.Tokens = w.Shared + w.Own + j.Prompt.Out
 		need.Unread = w.Own + w.Shared - min(max(c.Resident, c.Stored), w.Shared)
 		if c.Stored > c.Resident {
-			need.Fetching = c.Stored
+			// The fetch keeps the engine's link for as long as this number of tokens from
+			// a near store with a wide link does.
+			need.Fetching = int(c.FetchMs / g.keeper.FetchMs(1))
 		}
 	}
 	out.attempt = g.fleet.Begin(s.ID, need)
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -108,9 +108,10 @@
 	return resident, stored, fetchMs
 }
 
-// partMs is the expected time to fetch a part from a store.
+// partMs is the expected time to fetch a part from a store. The narrower one of
+// the two links decides.
 func (c *Catalog) partMs(s source, tokens int, factor float64) float64 {
-	return (float64(tokens)*c.tokenMs()*factor + float64(s.Setup)/float64(time.Millisecond)) * s.pace
+	return (float64(tokens)*c.tokenMs(s.LinkMbps)*factor + float64(s.Setup)/float64(time.Millisecond)) * s.pace
 }
 
 // worth reports whether a fetch is better than reading a part again, which costs
@@ -123,7 +124,7 @@
 func (c *Catalog) FetchMs(tokens int) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return float64(tokens) * c.tokenMs()
+	return float64(tokens) * c.tokenMs(0)
 }
 
 // Plan returns how an attempt at a target uses the stores.
@@ -239,10 +240,15 @@
 	return regionFactor
 }
 
-// tokenMs is the time to move one token over an engine's link.
-func (c *Catalog) tokenMs() float64 {
+// tokenMs is the time to move one token between an engine and a store with a link;
+// zero stands for a link that is as wide as the engine's.
+func (c *Catalog) tokenMs(linkMbps float64) float64 {
 	if c.engine.tokenBytes == 0 || c.engine.linkMbps <= 0 {
 		return defaultMs
 	}
-	return float64(c.engine.tokenBytes) * 8 / (c.engine.linkMbps * 1000)
+	narrow := c.engine.linkMbps
+	if linkMbps > 0 {
+		narrow = min(narrow, linkMbps)
+	}
+	return float64(c.engine.tokenBytes) * 8 / (narrow * 1000)
 }
