Wake hosts less often, write log lines together, test fetches over narrow links

Cause: each host of many woke some 60 times a second for nothing: 25 times to look at a lease of another host, 20 times for probes while no target was in doubt, up to 10 times to ask a hub of the stores, and once for each log line.

Change: a host without the lease looks four times a second, the prober waits for a target in doubt, hosts of many ask the hubs of stores four times a second, and lines of a tenth of a second are written together.

--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -68,6 +68,18 @@
 	return ids
 }
 
+// Doubtful reports whether any target is passed over, or may be soon.
+func (f *Fleet) Doubtful() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.targets {
+		if s.downUntil > 0 || s.suspected || s.probing {
+			return true
+		}
+	}
+	return false
+}
+
 // Due returns the targets to probe now. Each one is passed over until Probed tells
 // how its probe ended.
 func (f *Fleet) Due() []Target {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -103,7 +103,9 @@
 	poison   *poison.Tracker
 	peers    *peers
 	tables   *relay.Relay
-	leaving  atomic.Bool
+	// doubt is filled when a belief about a target has changed.
+	doubt   chan struct{}
+	leaving atomic.Bool
 }
 
 // New returns a host that has not started.
@@ -111,7 +113,10 @@
 	if err := s.Check(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	h := &Host{settings: s, platform: p, log: zap.NewNop(), level: func(string) error { return nil }, pool: s.Pool()}
+	h := &Host{
+		settings: s, platform: p, log: zap.NewNop(), level: func(string) error { return nil }, pool: s.Pool(),
+		doubt: make(chan struct{}, 1),
+	}
 	for _, o := range opts {
 		o(h)
 	}
@@ -239,6 +244,10 @@
 }
 
 func (h *Host) targetChanged(c fleet.Change) {
+	select {
+	case h.doubt <- struct{}{}:
+	default:
+	}
 	h.log.Info(
 		"target "+c.What, zap.String("target", c.Target.ID), zap.String("service", c.Target.Service),
 		zap.String("address", c.Target.Address), zap.String("zone", c.Target.Zone), zap.Int64("born", c.Target.Born),
--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -17,7 +17,11 @@
 	roleFor = time.Second
 	// learnPace is the least time between two questions to a hub: some store changes
 	// at nearly any time, and each answer would otherwise lead to the next question.
-	learnPace = 100 * time.Millisecond
+	// From manyLearners hosts on it is slowLearnPace, as the answers to all of them
+	// are the most that a hub sends.
+	learnPace     = 100 * time.Millisecond
+	slowLearnPace = 250 * time.Millisecond
+	manyLearners  = 32
 )
 
 // pollers learns what the stores hold: from the stores themselves, or from hosts
@@ -59,7 +63,11 @@
 		}
 		began := wire.Boot()
 		p.learn(ctx, hubs)
-		if pause.For(ctx, max(began+learnPace-wire.Boot(), 0)) != nil {
+		pace := learnPace
+		if p.host.members.count() >= manyLearners {
+			pace = slowLearnPace
+		}
+		if pause.For(ctx, max(began+pace-wire.Boot(), 0)) != nil {
 			break
 		}
 	}
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// probePeriod is the time between two looks at which targets are due a probe.
+	// probePeriod is the time between two looks at which targets are due a probe,
+	// while there are targets in doubt.
 	probePeriod = 50 * time.Millisecond
 	// maxProbes bounds the probes under way.
 	maxProbes = 32
@@ -24,7 +25,7 @@
 	dialer := wire.Dialer()
 	var probes errgroup.Group
 	probes.SetLimit(maxProbes)
-	for pause.For(ctx, probePeriod) == nil {
+	for h.awaitDoubt(ctx) {
 		for _, t := range h.fleet.Due() {
 			probes.Go(func() error {
 				h.probed(ctx, t, wire.Reach(ctx, dialer, t.Address))
@@ -35,6 +36,22 @@
 	return probes.Wait()
 }
 
+// awaitDoubt waits for the next look, or for the next target in doubt if there is
+// none now. It returns false when ctx has ended.
+func (h *Host) awaitDoubt(ctx context.Context) bool {
+	if pause.For(ctx, probePeriod) != nil {
+		return false
+	}
+	for !h.fleet.Doubtful() {
+		select {
+		case <-h.doubt:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 func (h *Host) probed(ctx context.Context, t fleet.Target, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,7 +37,7 @@
 
 const (
 	// stallPeriod is the time between two looks at a silent stream.
-	stallPeriod = 200 * time.Millisecond
+	stallPeriod = 300 * time.Millisecond
 	// silentLimit is how long a target may send nothing to anybody here before a
 	// stream that can go on elsewhere leaves it.
 	silentLimit = 800 * time.Millisecond
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,7 +1,8 @@
 // Package logs writes structured lines without ever holding up their writers.
 //
-// Lines wait in a bounded buffer for a single goroutine. A line that finds the
-// buffer full is dropped and counted; the count is logged once there is room.
+// Lines wait in a bounded buffer for a single goroutine, which writes those that
+// gathered in a tenth of a second together. A line that finds the buffer full is
+// dropped and counted; the count is logged once there is room.
 //
 // # Usage
 //
@@ -21,7 +22,11 @@
 )
 
 const (
-	maxLines  = 4096
+	maxLines = 4096
+	// gather is the time in which lines gather after one was written, and maxBatch
+	// the bytes that are written together at most.
+	gather    = 100 * time.Millisecond
+	maxBatch  = 64 << 10
 	syncLimit = 500 * time.Millisecond
 )
 
@@ -79,28 +84,45 @@
 	for {
 		select {
 		case b := <-w.lines:
-			w.write(b)
+			w.rest(b)
+		case reply := <-w.flush:
+			w.rest(nil)
+			close(reply)
+			continue
+		}
+		t := time.NewTimer(gather)
+		select {
+		case <-t.C:
 		case reply := <-w.flush:
-			w.rest()
+			w.rest(nil)
 			close(reply)
 		}
+		t.Stop()
 	}
 }
 
-func (w *writer) rest() {
+// rest writes b and the lines that wait.
+func (w *writer) rest(b []byte) {
 	for {
 		select {
-		case b := <-w.lines:
-			w.write(b)
+		case line := <-w.lines:
+			b = append(b, line...)
 		default:
+			w.write(b)
 			return
 		}
+		if len(b) >= maxBatch {
+			w.write(b)
+			b = b[:0]
+		}
 	}
 }
 
-// write writes a line. A reader that is gone leaves nobody to tell.
+// write writes lines. A reader that is gone leaves nobody to tell.
 func (w *writer) write(b []byte) {
-	_, _ = w.out.Write(b)
+	if len(b) > 0 {
+		_, _ = w.out.Write(b)
+	}
 	if n := w.dropped.Swap(0); n > 0 {
 		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
 	}
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// period is the time between two plans.
-	period = 40 * time.Millisecond
+	// period is the time between two plans, idlePeriod that between two looks at
+	// whether this host gives orders. A new holder of the lease waits for much longer
+	// before its first order.
+	period     = 40 * time.Millisecond
+	idlePeriod = 250 * time.Millisecond
 	// spread is how long the other hosts take to learn that an engine is about to
 	// load.
 	spread      = 80 * time.Millisecond
@@ -116,10 +119,13 @@
 // Run gives orders until ctx ends.
 func (r *Roller) Run(ctx context.Context) error {
 	defer r.group.Wait()
-	for pause.For(ctx, period) == nil {
+	wait := period
+	for pause.For(ctx, wait) == nil {
 		if !r.holds() {
+			wait = idlePeriod
 			continue
 		}
+		wait = period
 		next := Plan(r.view(), r.named(), wire.Boot())
 		if len(next) > 0 {
 			r.begin(ctx, next)
--- a/internal/stash/stash_test.go
+++ b/internal/stash/stash_test.go
@@ -76,6 +76,29 @@
 		Expect(c.Plan(prompt, scope, 1, engine).Save).To(Equal([]string{"", "", ""}))
 	})
 
+	// Guards against fetches that lose against reading because the store's link is
+	// narrower than the engine's, and hold up those behind them.
+	It("reads what comes slowly over a store's narrow link", func() {
+		narrow := func(mbps float64) string {
+			s, err := site.New(site.Site{Services: []site.Service{
+				{Name: "llm", Engine: &site.Engine{TokenBytes: 131072, LinkMbps: 1100000}},
+				{Name: "near", Store: &site.Store{Address: near, Zone: "sul-a", Tokens: 10000, LinkMbps: mbps, Managed: true}},
+			}})
+			Expect(err).NotTo(HaveOccurred())
+			c = stash.NewCatalog(map[string]string{"sul-a": "sul"}, stash.WithClock(clock))
+			c.Describe(s)
+			c.Listed(near, stash.Listing{Epoch: 1, Next: 1, Held: held("bb"), Clock: now.Milliseconds()}, now)
+			st := c.Plan(prompt, scope, 1, engine)
+			if st.Fetch[1] != "" {
+				Expect(st.FetchMs).To(BeNumerically("~", 800*131072*8/(mbps*1000), 0.01))
+			}
+			return st.Fetch[1]
+		}
+		Expect(narrow(480000)).To(Equal(near))
+		Expect(narrow(140000)).To(Equal(near))
+		Expect(narrow(10000)).To(BeEmpty())
+	})
+
 	// Guards against a fetch of a part that is still being written.
 	It("fetches only what an event or a list says is complete", func() {
 		c.Plan(prompt, scope, 1, engine)
