--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -113,6 +113,9 @@
 	return resp, err
 }
 
+// CloseIdleConnections closes the kept connections that are not in use.
+func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
 // Boot returns the time since the machine started, including the time for which
 // it was suspended.
 func Boot() time.Duration {
