--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -43,6 +43,11 @@
 			need.Fetching = int(c.FetchMs / g.keeper.FetchMs(1))
 		}
 	}
+	if out.state != nil {
+		for cause, tokens := range out.state.Again {
+			g.Metrics.Counters.Add("read "+string(cause), int64(tokens))
+		}
+	}
 	out.attempt = g.fleet.Begin(s.ID, need)
 	g.logPlaced(j, out, c, of)
 	return out
@@ -124,6 +129,7 @@
 		fields = append(
 			fields, zap.String("subject", w.Subject), zap.Int("shared", w.Shared), zap.Int("weights", c.state.Version), zap.Int("resident", k.Resident),
 			zap.Int("stored", k.Stored), zap.Strings("fetch", c.state.Fetch), zap.Strings("save", c.state.Save),
+			zap.Any("again", c.state.Again),
 		)
 	}
 	j.log.Info("placed", fields...)
--- a/internal/gate/types.go
+++ b/internal/gate/types.go
@@ -78,6 +78,8 @@
 	Until int64
 	// FetchMs is the expected time of the fetch.
 	FetchMs float64
+	// Again counts the shared tokens that are read.
+	Again Again
 }
 
 // Reply is what a target's answer says besides its body.
--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -124,7 +124,9 @@
 	offset    int64
 	hasOffset bool
 	// sends holds when a subject was last sent to a target.
-	sends  *lru.LRU[sendKey, time.Duration]
+	sends *lru.LRU[sendKey, time.Duration]
+	// asked holds the parts that prompts had lately.
+	asked  *lru.LRU[Key, struct{}]
 	engine engineRates
 	// source tells the numbers of this catalog from those of another one, changes is
 	// the last number, and learned is how far this catalog follows another.
@@ -148,8 +150,13 @@
 	if err != nil {
 		panic(err) // the size is positive
 	}
+	asked, err := lru.NewLRU[Key, struct{}](maxSends, nil)
+	if err != nil {
+		panic(err) // the size is positive
+	}
 	c := &Catalog{
-		now: wire.Boot, log: zap.NewNop(), use: always, regions: regions, stores: map[string]*store{}, sends: sends,
+		asked: asked,
+		now:   wire.Boot, log: zap.NewNop(), use: always, regions: regions, stores: map[string]*store{}, sends: sends,
 		changed: make(chan struct{}), source: rand.Uint64(),
 	}
 	for _, o := range opts {
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -137,18 +137,24 @@
 		Scope: scope, Version: version, Fetch: make([]string, len(p.Parts)), Save: make([]string, len(p.Parts)),
 	}
 	shared := p.Shared()
+	resident := c.resident(t.ID, scope, shared, m.now)
 	fetches, ms := false, 0.0
 	for i, part := range shared {
 		key := Key{scope, part.ID}
-		if s, factor, ok := c.nearest(c.holders(key, m), t.Zone); ok {
+		s, factor, held := c.nearest(c.holders(key, m), t.Zone)
+		if held {
 			if took := c.partMs(s, part.Tokens, factor); fetch && worth(part.Tokens, took, s.pace) {
 				st.Fetch[i] = s.Address
 				fetches = true
 				ms += took
+				continue
 			}
-			continue
 		}
-		if !save {
+		if !resident {
+			st.Again = st.Again.Add(c.cause(key, held, fetch, factor, m), part.Tokens)
+		}
+		c.asked.Add(key, struct{}{})
+		if held || !save {
 			continue
 		}
 		if s := c.keep(key, part.Tokens, t.Zone, m); s != nil {
@@ -170,6 +176,41 @@
 	return st
 }
 
+// resident reports whether a target probably holds the shared parts of a prompt.
+func (c *Catalog) resident(target, scope string, shared []gate.Part, now time.Duration) bool {
+	if len(shared) == 0 {
+		return false
+	}
+	sent, ok := c.sends.Peek(sendKey{target, scope, shared[len(shared)-1].ID})
+	return ok && now-sent < residentMemory
+}
+
+// cause says why a part is read although its prompt's target could have had it.
+func (c *Catalog) cause(k Key, held, fetch bool, factor float64, m moment) gate.Cause {
+	switch {
+	case held && !fetch:
+		return gate.Replaced
+	case held && factor == regionFactor:
+		return gate.Distant
+	case held:
+		return gate.Slower
+	}
+	blind := false
+	for _, s := range c.order {
+		if at, ok := s.saving[k]; ok && m.now-at < saveMemory {
+			return gate.Untold
+		}
+		blind = blind || !s.believed(m.now)
+	}
+	switch {
+	case !c.asked.Contains(k):
+		return gate.First
+	case blind:
+		return gate.Blind
+	}
+	return gate.Unsaved
+}
+
 // allowed reports whether state of a scope may be fetched and saved.
 func (c *Catalog) allowed(scope string) (fetch, save bool) {
 	model, version, ok := parseScope(scope)
--- a/internal/stash/stash_test.go
+++ b/internal/stash/stash_test.go
@@ -99,6 +99,24 @@
 		Expect(narrow(10000)).To(BeEmpty())
 	})
 
+	// Guards against a cause of repeated reading that the metrics and the log give
+	// wrongly, which would lead to the wrong change.
+	It("says why shared parts are read", func() {
+		again := func(version int, s string) gate.Again { return c.Plan(prompt, s, version, engine).Again }
+		Expect(again(1, scope)).To(Equal(gate.Again{gate.First: 1000}))
+		Expect(again(1, scope)).To(BeEmpty(), "the engine probably holds them")
+		engine := engine
+		engine.ID = "another"
+		Expect(c.Plan(prompt, scope, 1, engine).Again).To(Equal(gate.Again{gate.Untold: 1000}))
+		now += 10 * time.Second
+		Expect(c.Plan(prompt, scope, 1, engine).Again).To(Equal(gate.Again{gate.Blind: 1000}))
+		settled()
+		Expect(c.Plan(prompt, scope, 1, engine).Again).To(Equal(gate.Again{gate.Unsaved: 1000}))
+		engine.ID, engine.Zone = "third", "sudeste-a"
+		listed(c, 1, "aa", "bb")
+		Expect(c.Plan(prompt, scope, 1, engine).Again).To(Equal(gate.Again{gate.Distant: 800}), "a small one is fetched")
+	})
+
 	// Guards against a fetch of a part that is still being written.
 	It("fetches only what an event or a list says is complete", func() {
 		c.Plan(prompt, scope, 1, engine)
