Copy a part into the region of its second reader while stores there have room

Change: the second prompt of a host that reads such a part saves a copy in its own region, up to 60% of a store.

--- a/internal/stash/catalog.go
+++ b/internal/stash/catalog.go
@@ -29,6 +29,9 @@
 	maxLog = 2048
 	// fullShare is the share of a store's capacity up to which parts are saved.
 	fullShare = 0.97
+	// copyShare is the same for parts that a store of another region holds. A copy
+	// saves less than the first one, which needs the room more.
+	copyShare = 0.6
 )
 
 // FetchLimit is how long a fetch may take from the time at which it is sent.
--- a/internal/stash/plan.go
+++ b/internal/stash/plan.go
@@ -153,11 +153,16 @@
 		if !resident {
 			st.Again = st.Again.Add(c.cause(key, held, fetch, factor, m), part.Tokens)
 		}
+		known := c.asked.Contains(key)
 		c.asked.Add(key, struct{}{})
-		if held || !save {
+		if !save || held && (!known || c.sameRegion(s.Zone, t.Zone)) {
 			continue
 		}
-		if s := c.keep(key, part.Tokens, t.Zone, m); s != nil {
+		limit := fullShare
+		if held {
+			limit = copyShare
+		}
+		if s := c.keep(key, part.Tokens, t.Zone, limit, m); s != nil {
 			st.Save[i] = s.Address
 			s.saving[key] = m.now
 		}
@@ -244,9 +249,9 @@
 	return best, least, ok
 }
 
-// keep returns the store that takes a part which no store holds; nil if one is
-// about to, or none has room.
-func (c *Catalog) keep(k Key, tokens int, zone string, m moment) *store {
+// keep returns the store of a zone's region that takes a part which no store there
+// holds; nil if one is about to, or none has room within a share of its capacity.
+func (c *Catalog) keep(k Key, tokens int, zone string, limit float64, m moment) *store {
 	var best *store
 	near, most := 0.0, 0.0
 	for _, s := range c.order {
@@ -256,10 +261,10 @@
 		if m.pace(s) > slowPace {
 			continue
 		}
-		if !s.believed(m.now) || m.now < s.open || c.regions[s.Zone] != c.regions[zone] {
+		if !s.believed(m.now) || m.now < s.open || !c.sameRegion(s.Zone, zone) {
 			continue
 		}
-		if float64(s.used+tokens) > fullShare*float64(s.Tokens) {
+		if float64(s.used+tokens) > limit*float64(s.Tokens) {
 			continue
 		}
 		factor := c.factor(s.Zone, zone)
@@ -275,12 +280,14 @@
 	switch {
 	case from == to:
 		return 1
-	case c.regions[from] == c.regions[to]:
+	case c.sameRegion(from, to):
 		return zoneFactor
 	}
 	return regionFactor
 }
 
+func (c *Catalog) sameRegion(a, b string) bool { return c.regions[a] == c.regions[b] }
+
 // tokenMs is the time to move one token between an engine and a store with a link;
 // zero stands for a link that is as wide as the engine's.
 func (c *Catalog) tokenMs(linkMbps float64) float64 {
