--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -40,8 +40,9 @@
 	leaderListPace = 500 * time.Millisecond
 	slowListPace   = time.Second
 	leavingShare   = 0.4
-	// exitMargin is left between the end of the drain and SIGKILL.
-	exitMargin = 700 * time.Millisecond
+	// exitMargin is left between the end of the drain and SIGKILL; the parts of the
+	// host may take a second to stop.
+	exitMargin = 1200 * time.Millisecond
 )
 
 // Platform is what a host needs of its platform.
