Keep a panic in a goroutine from ending the host

Cause: the tree restarts parts and the HTTP server drops requests that panic, but goroutines of timers, store pollers, probes and loads of weights took the process with them. A request whose placement panicked stayed in the queue, before all others, and its calls in flight were never taken back.

Change: package guard recovers, logs with the stack and counts; a request whose placement panics is refused, which is true.

The test of the gate fails without the guard: the caller gets no answer.

--- a/internal/front/pollers.go
+++ b/internal/front/pollers.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/guard"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/stash"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -134,7 +135,9 @@
 		ctx, cancel := context.WithCancel(p.ctx)
 		p.running[a] = cancel
 		poller := stash.NewPoller(p.host.stash, p.host.platform.Targets(), a, p.host.log)
-		p.group.Go(func() { _ = poller.Run(ctx) }) // it returns nil
+		p.group.Go(func() {
+			guard.Keep(ctx, p.host.log, "poller", func() { _ = poller.Run(ctx) }) // it returns nil
+		})
 	}
 	for a, cancel := range p.running {
 		if !wanted[a] {
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/guard"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -28,7 +29,9 @@
 	for h.awaitDoubt(ctx) {
 		for _, t := range h.fleet.Due() {
 			probes.Go(func() error {
-				h.probed(ctx, t, wire.Reach(ctx, dialer, t.Address))
+				if !guard.Do(h.log, "probe", func() { h.probed(ctx, t, wire.Reach(ctx, dialer, t.Address)) }) {
+					h.fleet.Probed(t, false) // it is due again
+				}
 				return nil
 			})
 		}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/guard"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/poison"
 	"sesamehill.example/sesamehill/internal/site"
@@ -53,6 +54,7 @@
 func (g *Gate) attempt(ctx context.Context, j *job, c choice) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer c.attempt.End(fleet.Failed) // counts only after a panic
 	id := j.ID + "/" + c.ID
 	if !g.poison.Begin(j.print, id, c.ID, time.Now()) {
 		if _, refused := g.poison.Admit(j.print, time.Now()).(poison.Refuse); refused {
@@ -130,7 +132,7 @@
 	asked := begin
 	limit := max(stallGoals*j.route.Goal, 2*silentLimit)
 	ctx, stop := context.WithCancel(ctx)
-	go func() {
+	go guard.Do(j.log, "stall watch", func() {
 		for pause.For(ctx, stallPeriod) == nil {
 			last := time.Duration(j.heard.Load())
 			quiet := wire.Boot() - max(begin, last)
@@ -146,7 +148,7 @@
 				return
 			}
 		}
-	}()
+	})
 	return stop
 }
 
--- /dev/null
+++ b/internal/gate/panic_test.go
@@ -0,0 +1,79 @@
+package gate_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/gate"
+	"sesamehill.example/sesamehill/internal/site"
+	"sesamehill.example/sesamehill/platform"
+)
+
+func TestGate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gate")
+}
+
+// faulty weights panic for as many questions as are left.
+type faulty struct{ left atomic.Int64 }
+
+func (*faulty) Behind(string, int) (time.Duration, bool) { return 0, false }
+
+func (f *faulty) Loading(string) bool {
+	if f.left.Add(-1) >= 0 {
+		panic("unexpected")
+	}
+	return false
+}
+
+// Guards against an unexpected error in one decision that takes the process down
+// from the goroutine of a timer, or leaves a request in the way of all others.
+var _ = Describe("a panic while a target is chosen", func() {
+	It("refuses that request, truly, and the next one is served", func() {
+		runs := atomic.Int64{}
+		worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Response-Seal", "seal")
+		}))
+		defer worker.Close()
+		f := fleet.New()
+		f.Put(fleet.Target{ID: "a", Service: "app", Address: strings.TrimPrefix(worker.URL, "http://"), Slots: 4})
+		weights := &faulty{}
+		g := gate.New(platform.Codec{}, f, gate.WithWeights(weights))
+		s, err := site.New(site.Site{
+			Version: 1, Services: []site.Service{{Name: "app"}},
+			Routes: []site.Route{{
+				Name: "look", Host: "h.example", Prefix: "/look/", Kind: site.Idempotent, Attempts: 1, Public: true,
+				Shares: []site.Share{{Service: "app", Weight: 1}},
+			}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		g.SetSite(s)
+		front := httptest.NewServer(g)
+		defer front.Close()
+		ask := func() int {
+			req, err := http.NewRequest(http.MethodGet, front.URL+"/look/x", nil)
+			Expect(err).NotTo(HaveOccurred())
+			req.Host = "h.example"
+			req.Header.Set("X-Request-Id", "r")
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			return resp.StatusCode
+		}
+		weights.left.Store(1)
+		Expect(ask()).To(Equal(http.StatusServiceUnavailable))
+		Expect(runs.Load()).To(BeZero())
+		Expect(ask()).To(Equal(http.StatusOK))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+})
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/guard"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -119,7 +120,7 @@
 // together are answered together, as each look weighs every target.
 func (g *Gate) Kick() {
 	if g.kicked.CompareAndSwap(false, true) {
-		time.AfterFunc(kickDelay, g.dispatchAll)
+		time.AfterFunc(kickDelay, func() { guard.Do(g.log, "dispatch", g.dispatchAll) })
 	}
 }
 
@@ -148,7 +149,7 @@
 		if misses >= maxMisses {
 			break
 		}
-		v := g.choose(list[i].job)
+		v := g.decide(list[i].job)
 		if v == nil {
 			misses++
 			continue
@@ -177,6 +178,15 @@
 	return limit
 }
 
+// decide chooses a target. A request whose choice panics gets none, so that it
+// does not stay in the way of those that wait behind it.
+func (g *Gate) decide(j *job) (v verdict) {
+	if !guard.Do(j.log, "placement", func() { v = g.choose(j) }) {
+		return unplaced{}
+	}
+	return v
+}
+
 // choose returns a target with room and reserves it, unplaced, or nil if the
 // request must wait.
 func (g *Gate) choose(j *job) verdict {
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,51 @@
+package guard_test
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"sesamehill.example/sesamehill/internal/guard"
+)
+
+func TestGuard(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "guard")
+}
+
+// Guards against one unexpected error that takes a whole host down.
+var _ = Describe("a guarded function", func() {
+	It("logs its panic with the stack, and the process goes on", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		Expect(guard.Do(zap.New(core), "part", func() { panic("unexpected") })).To(BeFalse())
+		Expect(lines.All()).To(HaveLen(1))
+		fields := lines.All()[0].ContextMap()
+		Expect(fields["value"]).To(Equal("unexpected"))
+		Expect(fields["stack"]).To(ContainSubstring("guard_test.go"))
+	})
+
+	It("runs again until it returns", func() {
+		runs := 0
+		guard.Keep(context.Background(), zap.NewNop(), "part", func() {
+			if runs++; runs < 3 {
+				panic(runs)
+			}
+		})
+		Expect(runs).To(Equal(3))
+	})
+
+	It("does not run again after the end", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		runs := 0
+		guard.Keep(ctx, zap.NewNop(), "part", func() {
+			runs++
+			stop()
+			panic(runs)
+		})
+		Expect(runs).To(Equal(1))
+	})
+})
--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -31,6 +31,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/guard"
 	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
 )
@@ -200,7 +201,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the receiver
 	defer stop()
 	var sending sync.WaitGroup
-	sending.Go(func() { h.send(ctx, conn) })
+	sending.Go(func() { guard.Keep(ctx, h.log, "hail", func() { h.send(ctx, conn) }) })
 	defer sending.Wait()
 	defer end()
 	return h.receive(ctx, conn)
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/guard"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -162,16 +163,21 @@
 	r.mu.Unlock()
 	r.publish(ctx)
 	for _, e := range next {
-		r.group.Go(func() { r.load(ctx, e) })
+		r.group.Go(func() { guard.Do(r.log, "load", func() { r.load(ctx, e) }) })
 	}
 }
 
 // load brings one engine to the weights that are named when it begins.
 func (r *Roller) load(ctx context.Context, e Engine) {
 	held := 0
+	defer func() { r.loadedTo(e, held) }() // also after a panic, or the engine would stay out
 	if pause.For(ctx, spread) == nil && r.idle(ctx, e) {
 		held = r.order(ctx, e, r.named()[e.Model])
 	}
+}
+
+// loadedTo notes the end of an order; held is zero if it has failed.
+func (r *Roller) loadedTo(e Engine, held int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.loading, e.ID)
