Bound the messages of hubs where targets are thousands

Cause, by computation: the sum of all calls in flight is 28 bytes a target, so that a hub's answer about 1,300 targets (36 KB) did not fit a datagram and was not sent, and followers learned nothing; 22 KB five times a second for 20 followers is more than a link of 10 Mbit/s carries.

Change: a message names the 800 busiest targets at most. Flights are sent as often as 24 KB/s to a follower and 400 KB/s between hubs allow; the messages between are brief and carry all the rest, so that tables, weights and orders come as promptly as before.

--- a/internal/hail/hail.go
+++ b/internal/hail/hail.go
@@ -59,6 +59,9 @@
 	Known map[string]map[string]Named `cbor:"9,keyasint,omitempty"`
 	// Tables are the versions of the platform's tables that the sender knows.
 	Tables map[string]relay.Seen `cbor:"10,keyasint,omitempty"`
+	// Brief messages leave the flights out, or ask for an answer without them: those
+	// of the last one still count.
+	Brief bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Kind is the kind of a message.
@@ -155,6 +158,8 @@
 	leader string
 	// followers holds when each follower was heard last.
 	followers map[string]time.Duration
+	// full is the boot time from which flights are sent, or asked for, again.
+	full time.Duration
 	// progress is that of the host that gives orders, as it was heard last.
 	progress heardProgress
 }
--- a/internal/hail/hub_test.go
+++ b/internal/hail/hub_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -168,6 +169,52 @@
 	})
 })
 
+// Guards against messages that no longer fit a datagram, or fill the links of hubs,
+// where targets are thousands.
+var _ = Describe("messages about thousands of targets", func() {
+	many := func() (*fleet.Fleet, *Hailer) {
+		f := fleet.New()
+		var targets []fleet.Target
+		for i := range 3000 {
+			targets = append(targets, fleet.Target{ID: fmt.Sprintf("i-%010d", i), Service: "llm", Address: "10.0.0.1:80"})
+		}
+		f.Replace(targets)
+		for i, t := range targets {
+			for range 1 + i%2 {
+				f.Begin(t.ID, fleet.Flight{Tokens: 100_000, Unread: 100_000, Fetching: 100_000})
+			}
+		}
+		return f, New("", "hub", f, nil)
+	}
+
+	It("fit a datagram with the busiest targets", func() {
+		_, h := many()
+		for _, m := range []Message{h.message(News), h.message(Question), h.answer(Message{Host: "a"})} {
+			b, err := cbor.Marshal(m)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(b)).To(BeNumerically("<=", maxDatagram))
+			Expect(m.Flights).To(HaveLen(maxFlights))
+			for _, f := range m.Flights {
+				Expect(f.Calls).To(Equal(2))
+			}
+		}
+		Expect(h.answer(Message{Host: "a", Brief: true}).Flights).To(BeNil())
+	})
+
+	It("come as often as the link allows, and brief ones change nothing", func() {
+		f := fleet.New()
+		f.Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
+		h := New("", "follower", f, nil)
+		h.hubs.next([]string{"hub"}, 0)
+		calls := map[string]fleet.Flight{"e": {Calls: 3}}
+		Expect(h.take(Message{Host: "hub", Kind: Answer, Flights: calls}, "hub", askBytes/10)).To(BeTrue())
+		Expect(h.brief()).To(BeTrue())
+		Expect(h.take(Message{Host: "hub", Kind: Answer, Brief: true}, "hub", 100)).To(BeTrue())
+		Expect(f.Serving("llm")[0].Others.Calls).To(Equal(3))
+		Eventually(h.brief, "1s", "10ms").Should(BeFalse())
+	})
+})
+
 // Guards against followers that stay with a hub which is silent or knows nothing,
 // or leave one for a single lost message.
 var _ = Describe("the choice of a hub", func() {
--- a/internal/hail/receive.go
+++ b/internal/hail/receive.go
@@ -31,7 +31,7 @@
 			h.log.Debug("message of a host not usable", zap.Error(err))
 			continue
 		}
-		if h.take(m, from.String()) {
+		if h.take(m, from.String(), n) {
 			h.learn(m)
 			h.changed()
 		}
@@ -41,9 +41,9 @@
 	}
 }
 
-// take notes the flights of a message. It returns false if the message is the
-// answer of another hub than the one that was asked.
-func (h *Hailer) take(m Message, from string) bool {
+// take notes the flights of a message of some bytes. It returns false if the
+// message is the answer of another hub than the one that was asked.
+func (h *Hailer) take(m Message, from string, bytes int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch m.Kind {
@@ -51,7 +51,9 @@
 		h.followers[m.Host] = wire.Boot()
 		h.fleet.Told(m.Host, m.Flights, fleet.Follower)
 	case News:
-		h.fleet.Told(m.Host, m.Flights, h.teller())
+		if !m.Brief {
+			h.fleet.Told(m.Host, m.Flights, h.teller())
+		}
 		if h.tables != nil && from == h.leader {
 			h.tables.Announced(from, m.Tables)
 		}
@@ -59,7 +61,10 @@
 		if !h.hubs.answered(from, h.tables != nil && len(m.Tables) == 0) {
 			return false
 		}
-		h.fleet.Told(ofHub, m.Flights, fleet.Hub)
+		if !m.Brief {
+			h.fleet.Told(ofHub, m.Flights, fleet.Peer)
+			h.spend(bytes, askBytes)
+		}
 		if h.tables != nil {
 			h.tables.Announced(from, m.Tables)
 		}
--- a/internal/hail/send.go
+++ b/internal/hail/send.go
@@ -1,14 +1,18 @@
 package hail
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -27,6 +31,13 @@
 	// farPerRound is the number of hosts of other regions for which a round more is
 	// left out, as the links between regions are narrow.
 	farPerRound = 5
+	// maxFlights bounds the flights of a message, so that it fits a datagram. The
+	// busiest targets matter most.
+	maxFlights = 800
+	// askBytes and hubBytes are what flights may take of a follower's link, and of a
+	// hub's link to the other hubs, in bytes a second. Messages between are brief.
+	askBytes = 24 << 10
+	hubBytes = 400 << 10
 	// progressMemory is how long the progress of another host is told on.
 	progressMemory = 1500 * time.Millisecond
 	// followerMemory is how long a follower counts as one.
@@ -52,17 +63,58 @@
 		h.leader = t.Leader
 		h.mu.Unlock()
 		if hub != "" {
-			h.write(conn, h.message(Question), hub)
+			m := h.message(Question)
+			m.Brief = h.brief()
+			h.write(conn, m, hub)
 			continue
 		}
 		peers := t.Near
 		if round%farRounds(len(t.Far)) == 0 {
 			peers = append(peers, t.Far...)
 		}
-		if len(peers) > 0 {
-			h.write(conn, h.news(t), peers...)
+		if len(peers) == 0 {
+			continue
+		}
+		m := h.news(t)
+		if m.Brief = t.Leader != "" && h.brief(); m.Brief {
+			m.Flights = nil
 		}
+		n := h.write(conn, m, peers...)
+		if t.Leader != "" && !m.Brief {
+			h.mu.Lock()
+			h.spend(n*len(peers), hubBytes)
+			h.mu.Unlock()
+		}
+	}
+}
+
+// brief reports whether flights are to be left out for now.
+func (h *Hailer) brief() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return wire.Boot() < h.full
+}
+
+// spend notes that flights took some bytes, of which so many are allowed a second.
+// The caller holds mu.
+func (h *Hailer) spend(bytes, allowed int) {
+	h.full = wire.Boot() + time.Duration(bytes)*time.Second/time.Duration(allowed)
+}
+
+// busiest returns at most maxFlights of some flights.
+func busiest(flights map[string]fleet.Flight) map[string]fleet.Flight {
+	if len(flights) <= maxFlights {
+		return flights
+	}
+	ids := slices.Collect(maps.Keys(flights))
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(flights[b].Calls, flights[a].Calls), cmp.Compare(a, b))
+	})
+	out := make(map[string]fleet.Flight, maxFlights)
+	for _, id := range ids[:maxFlights] {
+		out[id] = flights[id]
 	}
+	return out
 }
 
 // period is the time between two rounds.
@@ -88,9 +140,9 @@
 func (h *Hailer) message(k Kind) Message {
 	m := Message{Host: h.host, Kind: k, Down: h.fleet.Unreachable()}
 	if k == News {
-		m.Flights = h.fleet.Below()
+		m.Flights = busiest(h.fleet.Below())
 	} else {
-		m.Flights = h.fleet.Flights()
+		m.Flights = busiest(h.fleet.Flights())
 	}
 	m.Confirmed = h.roster != nil && h.roster.Confirmed()
 	if h.weights == nil {
@@ -120,7 +172,10 @@
 // answer returns what a follower is told.
 func (h *Hailer) answer(to Message) Message {
 	m := h.message(Answer)
-	m.Flights = h.fleet.Except(to.Host)
+	m.Flights, m.Brief = nil, to.Brief
+	if !to.Brief {
+		m.Flights = busiest(h.fleet.Except(to.Host))
+	}
 	if h.tables != nil {
 		m.Tables = h.tables.Versions()
 	}
@@ -163,11 +218,12 @@
 	return names
 }
 
-func (h *Hailer) write(conn net.PacketConn, m Message, peers ...string) {
+// write sends a message and returns its size.
+func (h *Hailer) write(conn net.PacketConn, m Message, peers ...string) int {
 	b, err := cbor.Marshal(m)
 	if err != nil || len(b) > maxDatagram {
 		h.log.Warn("message to hosts not sent", zap.Int("bytes", len(b)), zap.Error(err))
-		return
+		return 0
 	}
 	for _, p := range peers {
 		to, err := net.ResolveUDPAddr("udp", p)
@@ -177,4 +233,5 @@
 		}
 		_, _ = conn.WriteTo(b, to) // the next message makes up for a lost one
 	}
+	return len(b)
 }
