--- a/pkg/config/section_test.go
+++ b/pkg/config/section_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -104,10 +105,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		best := time.Hour
 		for range 3 {
-			start := time.Now()
+			start, used := time.Now(), processorTime()
 			_, err = config.ParseDocument("large.toml", data)
 			Expect(err).NotTo(HaveOccurred())
-			best = min(best, time.Since(start))
+			// On a machine with more work than cores the elapsed time is that of others.
+			best = min(best, time.Since(start), processorTime()-used)
 		}
 		start := time.Now()
 		Expect(d.Check()).To(BeEmpty())
@@ -226,3 +228,10 @@
 	}
 	return used
 }
+
+// processorTime returns what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
