--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -190,6 +190,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.allowance().Window).To(Equal(10 * time.Second))
 	})
+	// Guards against requests that wait at an engine with replaced weights until the
+	// platform's bound has passed: one began 2.36 s after it can have been sent.
+	It("stops sending to replaced weights long enough before the bound", func() {
+		s, err := ParseSettings([]byte("weights = 8000\n" + goodSettings))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.staleLimit()).To(BeNumerically("<=", 8*time.Second-2400*time.Millisecond))
+		Expect(s.staleLimit()).To(BeNumerically(">=", 4*time.Second))
+	})
 	DescribeTable("names what is wrong",
 		func(old, replacement, want string) {
 			text := []byte(goodSettings)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -173,8 +173,10 @@
 	return time.Duration(s.Lease*float64(time.Millisecond)) - leaseMargin + leaseMargin/2
 }
 
-// staleMargin is the time that a request may take to reach its engine and begin.
-const staleMargin = 2200 * time.Millisecond
+// staleMargin is the time that a request may take to reach its engine and begin. A
+// request that was sent 2.2 s before the bound has begun after it, behind others
+// that waited at its engine.
+const staleMargin = 3 * time.Second
 
 func (s Settings) staleLimit() time.Duration {
 	return max(time.Duration(s.Weights*float64(time.Millisecond))-staleMargin, 0)
