--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,8 +37,9 @@
 func (over) ending()   {}
 
 const (
-	// stallPeriod is the time between two looks at a silent stream.
-	stallPeriod = 300 * time.Millisecond
+	// stallPeriod is the time between two looks at a stream that has been silent for
+	// silentLimit.
+	stallPeriod = 200 * time.Millisecond
 	// silentLimit is how long a target may send nothing to anybody here before a
 	// stream that can go on elsewhere leaves it.
 	silentLimit = 800 * time.Millisecond
@@ -133,9 +134,10 @@
 	limit := max(stallGoals*j.route.Goal, 2*silentLimit)
 	ctx, stop := context.WithCancel(ctx)
 	go guard.Do(j.log, "stall watch", func() {
-		for pause.For(ctx, stallPeriod) == nil {
+		quiet := time.Duration(0)
+		for pause.For(ctx, max(silentLimit-quiet, stallPeriod)) == nil {
 			last := time.Duration(j.heard.Load())
-			quiet := wire.Boot() - max(begin, last)
+			quiet = wire.Boot() - max(begin, last)
 			dead := false
 			if quiet > silentLimit && wire.Boot()-asked > silentLimit && c.attempt.Silent(silentLimit) {
 				// The request may wait its turn there, or pause while prompts are read.
