Sum up the calls in flight only for messages that carry them; one jitter

Answers and brief messages of hubs worked out the flights of this host and threw them away, up to a hundred times a second. Behaviour stays as it is.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -112,26 +111,17 @@
 	for {
 		if now := wire.Boot(); now >= next || m.news(now-last) {
 			period := m.period()
-			last, next = now, now+jitter(memberPeriod)
+			last, next = now, now+pause.Jitter(memberPeriod)
 			if m.write(ctx, period) {
-				next = now + jitter(period)
+				next = now + pause.Jitter(period)
 			}
 		}
-		if pause.For(ctx, jitter(min(memberPeriod, max(next-wire.Boot(), 0)))) != nil {
+		if pause.For(ctx, pause.Jitter(min(memberPeriod, max(next-wire.Boot(), 0)))) != nil {
 			return nil //nolint:nilerr // the end of ctx is the normal end
 		}
 	}
 }
 
-// jitter returns a time near another one, so that hosts which started together do
-// not write together.
-func jitter(d time.Duration) time.Duration {
-	if d <= 0 {
-		return 0
-	}
-	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
-}
-
 // news reports whether a request has crashed a target within a time, which the
 // others should learn soon.
 func (m *members) news(within time.Duration) bool {
--- a/internal/hail/send.go
+++ b/internal/hail/send.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -55,7 +54,7 @@
 func (h *Hailer) send(ctx context.Context, conn net.PacketConn) {
 	for round := 0; ; round++ {
 		t := h.topology()
-		if pause.For(ctx, jitter(t.period())) != nil {
+		if pause.For(ctx, pause.Jitter(t.period())) != nil {
 			return
 		}
 		h.mu.Lock()
@@ -76,9 +75,6 @@
 			continue
 		}
 		m := h.news(t)
-		if m.Brief = t.Leader != "" && h.brief(); m.Brief {
-			m.Flights = nil
-		}
 		n := h.write(conn, m, peers...)
 		if t.Leader != "" && !m.Brief {
 			h.mu.Lock()
@@ -129,21 +125,23 @@
 	return min(max(time.Duration(len(t.Near))*perPeer, least), maxPeriod)
 }
 
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)))
-}
-
 // farRounds is the number of rounds of which hosts of other regions get one.
 func farRounds(far int) int { return 1 + far/farPerRound }
 
 // message returns what this host has to say on its own.
 func (h *Hailer) message(k Kind) Message {
-	m := Message{Host: h.host, Kind: k, Down: h.fleet.Unreachable()}
+	m := h.bare(k)
 	if k == News {
 		m.Flights = busiest(h.fleet.Below())
 	} else {
 		m.Flights = busiest(h.fleet.Flights())
 	}
+	return m
+}
+
+// bare returns a message without flights.
+func (h *Hailer) bare(k Kind) Message {
+	m := Message{Host: h.host, Kind: k, Down: h.fleet.Unreachable()}
 	m.Confirmed = h.roster != nil && h.roster.Confirmed()
 	if h.weights == nil {
 		return m
@@ -162,7 +160,13 @@
 // news returns what this host tells others unasked. A hub tells the other hubs
 // what the platform's tables say.
 func (h *Hailer) news(t Topology) Message {
-	m := h.message(News)
+	var m Message
+	if t.Leader != "" && h.brief() {
+		m = h.bare(News)
+		m.Brief = true
+	} else {
+		m = h.message(News)
+	}
 	if h.tables != nil && t.Leader != "" {
 		m.Tables = h.tables.Versions()
 	}
@@ -171,9 +175,8 @@
 
 // answer returns what a follower is told.
 func (h *Hailer) answer(to Message) Message {
-	m := h.message(Answer)
-	m.Flights, m.Brief = nil, to.Brief
-	if !to.Brief {
+	m := h.bare(Answer)
+	if m.Brief = to.Brief; !m.Brief {
 		m.Flights = busiest(h.fleet.Except(to.Host))
 	}
 	if h.tables != nil {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -9,9 +9,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
+// Jitter returns a time within a quarter of another one, so that hosts which
+// started together do not act together.
+func Jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
+
 // For waits for d. It returns the error of ctx if ctx ends before.
 func For(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
