Count reads of the platform's tables by table and source, before any change of logic

Hosts lose the operator's table for seconds; whether bytes, short limits or lost announcements cause it cannot be told from the counts of calls. Each read now counts rows, bytes and failures, and a read that fails or is large is logged with the time since the table was current. No change of behaviour.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -83,6 +85,9 @@
 // WithClock sets the clock, which must be the boot clock.
 func WithClock(now func() time.Duration) Option { return func(r *Relay) { r.now = now } }
 
+// WithLog sets the log.
+func WithLog(l *zap.Logger) Option { return func(r *Relay) { r.logger = l } }
+
 // WithLeader sets a function that reports whether this host is the leader, which
 // follows the tables on the platform for the other hosts.
 func WithLeader(f func() bool) Option { return func(r *Relay) { r.isLeader = f } }
@@ -116,6 +121,7 @@
 	isLeader func() bool
 	isHub    func() bool
 	slow     map[string]bool
+	logger   *zap.Logger
 
 	mu   sync.Mutex
 	logs map[string]*changeLog
@@ -126,8 +132,8 @@
 	hubRetryAt time.Duration
 	// updated is closed, and replaced, with each announcement of a hub.
 	updated chan struct{}
-	// platformCalls counts the calls to the platform, hubQueries those to hubs.
-	platformCalls, hubQueries uint64
+	// stats counts the reads by source and table.
+	stats map[Source]map[string]*ReadStats
 }
 
 var _ feed.Source = (*Relay)(nil)
@@ -137,6 +143,7 @@
 	r := &Relay{
 		platform: platform, queryHub: query, now: wire.BootTime, isLeader: func() bool { return false }, isHub: func() bool { return false },
 		slow: map[string]bool{}, logs: map[string]*changeLog{}, announced: map[string]announcement{}, updated: make(chan struct{}),
+		stats: map[Source]map[string]*ReadStats{}, logger: zap.NewNop(),
 	}
 	for _, o := range opts {
 		o(r)
@@ -210,15 +217,23 @@
 
 // CallCounts returns the numbers of calls to the platform and of queries to hubs.
 func (r *Relay) CallCounts() (platform, hubs uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.platformCalls, r.hubQueries
+	for source, tables := range r.ReadStats() {
+		for _, stats := range tables {
+			if source == FromPlatform {
+				platform += stats.Reads
+			} else {
+				hubs += stats.Reads
+			}
+		}
+	}
+	return platform, hubs
 }
 
 // List returns all rows of a table. It always reads them from the platform.
 func (r *Relay) List(ctx context.Context, table string) ([]feed.Row, uint64, error) {
-	start := r.countPlatformCall()
+	d := r.beginRead(FromPlatform, table, 0)
 	rows, version, err := r.platform.List(ctx, table)
+	r.endRead(d, rows, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(table)
@@ -226,7 +241,7 @@
 		l.currentAt = 0
 		return nil, 0, err
 	}
-	l.reset(version, start)
+	l.reset(version, d.startedAt)
 	return rows, version, nil
 }
 
@@ -298,8 +313,9 @@
 	wait = max(wait, 0)
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
-	r.countPlatformCall()
+	d := r.beginRead(FromPlatform, table, after)
 	rows, version, err := r.platform.Changes(ctx, table, after, wait)
+	r.endRead(d, rows, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(table)
@@ -314,12 +330,11 @@
 // fetchFromHub queries the hub for the changes that it has announced and records
 // them for queries of other hosts; false if the hub does not have all of them.
 func (r *Relay) fetchFromHub(ctx context.Context, s hubState, q Query) ([]feed.Row, uint64, bool) {
-	r.mu.Lock()
-	r.hubQueries++
-	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
+	d := r.beginRead(FromHub, q.Table, q.After)
 	a, err := r.queryHub(ctx, s.hub, q)
+	r.endRead(d, a.Rows, err)
 	if err != nil || a.Incomplete || a.Version < q.After {
 		return nil, 0, false
 	}
@@ -362,15 +377,6 @@
 	r.hubRetryAt = r.now() + hubRetryDelay
 }
 
-// countPlatformCall counts a call to the platform and returns the time at which it
-// starts.
-func (r *Relay) countPlatformCall() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.platformCalls++
-	return r.now()
-}
-
 // log returns the change log of a table. The caller holds mu.
 func (r *Relay) log(table string) *changeLog {
 	l, ok := r.logs[table]
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -60,6 +60,7 @@
 		platform, hubs := h.tables.CallCounts()
 		return map[string]uint64{"platform": platform, "hubs": hubs}
 	}))
+	vars.Set("reads", expvar.Func(func() any { return h.tables.ReadStats() }))
 	vars.Set("held", expvar.Func(func() any { return h.pool.InUse() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
