--- /dev/null
+++ b/internal/relay/link_test.go
@@ -0,0 +1,351 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/pause"
+)
+
+const (
+	// linkBytesPerSecond is the rate of the link between two regions, 60 Mbit/s, and
+	// linkDelay its delay to and fro.
+	linkBytesPerSecond = 7_500_000
+	linkDelay          = 40 * time.Millisecond
+	// connectionWindow is what a connection may have queued at the link.
+	connectionWindow = 256 << 10
+	// base64Num and base64Den are the growth of values in responses of the platform.
+	base64Num, base64Den = 4, 3
+	rowOverheadBytes     = 80
+)
+
+// link is a link that all connections of a region share. It sends in order of
+// arrival.
+type link struct {
+	mu     sync.Mutex
+	freeAt time.Time
+	bytes  atomic.Int64
+	closed atomic.Bool
+}
+
+// send sends n bytes in windows. What was queued before ctx ends is sent all the
+// same.
+func (l *link) send(ctx context.Context, n int) error {
+	for l.closed.Load() {
+		if pause.For(ctx, 10*time.Millisecond) != nil {
+			return ctx.Err()
+		}
+	}
+	for n > 0 {
+		window := min(n, connectionWindow)
+		n -= window
+		l.mu.Lock()
+		if now := time.Now(); l.freeAt.Before(now) {
+			l.freeAt = now
+		}
+		l.freeAt = l.freeAt.Add(time.Duration(window) * time.Second / linkBytesPerSecond)
+		arrivesAt := l.freeAt.Add(linkDelay)
+		l.mu.Unlock()
+		l.bytes.Add(int64(window))
+		select {
+		case <-time.After(time.Until(arrivesAt)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// historyStore keeps every write of its tables, and returns all of them to a reader
+// that is behind.
+type historyStore struct {
+	mu      sync.Mutex
+	version uint64
+	// compactedAt is the version before which there is no history.
+	compactedAt uint64
+	history     map[string][]feed.Row
+	changed     chan struct{}
+}
+
+func newHistoryStore() *historyStore {
+	return &historyStore{history: map[string][]feed.Row{}, changed: make(chan struct{})}
+}
+
+func (s *historyStore) put(table, key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.history[table] = append(s.history[table], feed.Row{Key: key, Value: value, Version: s.version})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+// compact drops the history.
+func (s *historyStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compactedAt = s.version
+}
+
+func (s *historyStore) after(table string, after uint64) (rows []feed.Row, version uint64, changed chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.compactedAt {
+		return nil, 0, nil, &feed.HistoryExpiredError{Table: table, After: after}
+	}
+	for _, r := range s.history[table] {
+		if r.Version > after {
+			rows = append(rows, r)
+		}
+	}
+	return rows, s.version, s.changed, nil
+}
+
+func (s *historyStore) present(table string) ([]feed.Row, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]feed.Row{}
+	for _, r := range s.history[table] {
+		newest[r.Key] = r
+	}
+	rows := make([]feed.Row, 0, len(newest))
+	for _, r := range newest {
+		rows = append(rows, r)
+	}
+	return rows, s.version
+}
+
+// remoteStore is the store as hosts of another region see it.
+type remoteStore struct {
+	*historyStore
+	link  *link
+	lists atomic.Int64
+}
+
+func responseBytes(rows []feed.Row) int {
+	n := rowOverheadBytes
+	for _, r := range rows {
+		n += rowOverheadBytes + len(r.Key) + len(r.Value)*base64Num/base64Den
+	}
+	return n
+}
+
+func (s *remoteStore) List(ctx context.Context, table string) ([]feed.Row, uint64, error) {
+	s.lists.Add(1)
+	rows, version := s.present(table)
+	return rows, version, s.link.send(ctx, responseBytes(rows))
+}
+
+func (s *remoteStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]feed.Row, uint64, error) {
+	timeout := time.After(wait)
+	for waiting := true; ; {
+		rows, version, changed, err := s.after(table, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if len(rows) > 0 || !waiting {
+			return rows, version, s.link.send(ctx, responseBytes(rows))
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// follower records when a host received a key.
+type follower struct {
+	mu       sync.Mutex
+	received map[string]uint64
+}
+
+func (f *follower) Listed(rows []feed.Row) { f.Changed(rows) }
+
+func (f *follower) Changed(rows []feed.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range rows {
+		f.received[r.Key] = max(f.received[r.Key], r.Version)
+	}
+}
+
+func (*follower) Unavailable(error)       {}
+func (*follower) Recovered(time.Duration) {}
+
+func (f *follower) version(key string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received[key]
+}
+
+// region is the hosts of a region on the far side of the link. The first is the
+// leader, the second a hub.
+type region struct {
+	hosts []*Relay
+	// operators are the operator tables of the hosts.
+	operators []*follower
+	// silent says that the announcements of the hubs are lost.
+	silent atomic.Bool
+}
+
+const (
+	operatorTable = "op"
+	hostsTable    = "hosts"
+)
+
+// startRegion starts hosts that follow the operator table and the table of hosts.
+func startRegion(t *testing.T, s feed.Source, n int) *region {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &region{}
+	var running sync.WaitGroup
+	query := func(_ context.Context, hub string, q Query) (Reply, error) {
+		var i int
+		_, err := fmt.Sscan(hub, &i)
+		return g.hosts[i].HandleQuery(q), err
+	}
+	for i := range n {
+		opts := []Option{
+			WithSlowTables(hostsTable),
+			WithLeader(func() bool { return i == 0 }), WithHub(func() bool { return i < 2 }),
+		}
+		g.hosts = append(g.hosts, New(s, query, append(opts, regionOptions(n)...)...))
+		g.operators = append(g.operators, &follower{received: map[string]uint64{}})
+	}
+	for i, r := range g.hosts {
+		running.Go(func() { _ = feed.NewWatch(r, operatorTable, g.operators[i]).Run(ctx) })
+		running.Go(func() {
+			interval := feed.WithInterval(func() time.Duration { return 2 * time.Second })
+			_ = feed.NewWatch(r, hostsTable, &follower{received: map[string]uint64{}}, interval).Run(ctx)
+		})
+	}
+	running.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(200 * time.Millisecond)
+			if g.silent.Load() {
+				continue
+			}
+			g.hosts[1].RecordVersions("0", g.hosts[0].Versions())
+			for _, r := range g.hosts[2:] {
+				r.RecordVersions("1", g.hosts[1].Versions())
+			}
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return g
+}
+
+// receivedBy returns the number of hosts that have a version of a key.
+func (g *region) receivedBy(key string, version uint64) int {
+	n := 0
+	for _, o := range g.operators {
+		if o.version(key) >= version {
+			n++
+		}
+	}
+	return n
+}
+
+// writeRows writes the rows of n hosts again and again.
+func (s *historyStore) writeRows(ctx context.Context, n, bytes int, interval time.Duration) {
+	for i := range n {
+		go func() {
+			time.Sleep(rand.N(interval))
+			for ctx.Err() == nil {
+				s.put(hostsTable, fmt.Sprint("host-", i), make([]byte, bytes))
+				time.Sleep(interval)
+			}
+		}()
+	}
+}
+
+const (
+	regionHosts = 38
+	allHosts    = 77
+	// rowBytes and configBytes are the sizes of a row of the table of hosts and of a
+	// configuration in the incident.
+	rowBytes    = 13 << 10
+	configBytes = 24 << 10
+	// configLimit is the time within which a configuration has to be in force.
+	configLimit = 4 * time.Second
+)
+
+// Guards against a region whose hosts all read the table of hosts from the platform
+// after they missed the announcements, and thereby fill the link to the platform, so
+// that a configuration arrives late or never.
+func TestConfigurationLateWhileHostsReadTable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first := s.put(operatorTable, "config", make([]byte, configBytes))
+	s.writeRows(ctx, allHosts, rowBytes, 2*time.Second)
+	r := startRegion(t, s, regionHosts)
+	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	time.Sleep(3 * time.Second)
+	r.silent.Store(true)
+	time.Sleep(slowCurrentTTL + 1500*time.Millisecond)
+	changed := s.put(operatorTable, "config", make([]byte, configBytes))
+	sentBefore := s.link.bytes.Load()
+	g.Eventually(func() int { return r.receivedBy("config", changed) }, configLimit, "20ms").Should(gomega.Equal(regionHosts))
+	time.Sleep(3 * time.Second)
+	sent := s.link.bytes.Load() - sentBefore
+	// The leader's own reads of a table of this size are most of it.
+	g.Expect(sent).To(gomega.BeNumerically("<", 3*3*linkBytesPerSecond/2), "bytes over the link within 3 s or more")
+}
+
+// Guards against a region whose hosts each read the versions of a configuration that
+// they missed, one after the other, and start again when a read is cut off.
+func TestConfigurationLateAfterManyVersions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
+	first := s.put(operatorTable, "config", make([]byte, configBytes))
+	r := startRegion(t, s, regionHosts)
+	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	time.Sleep(time.Second)
+	r.silent.Store(true)
+	s.link.closed.Store(true)
+	var last uint64
+	for range 20 {
+		time.Sleep(300 * time.Millisecond)
+		last = s.put(operatorTable, "config", make([]byte, 3*configBytes))
+	}
+	s.link.closed.Store(false)
+	sentBefore := s.link.bytes.Load()
+	g.Eventually(func() int { return r.receivedBy("config", last) }, configLimit, "20ms").Should(gomega.Equal(regionHosts))
+	sent := s.link.bytes.Load() - sentBefore
+	g.Expect(sent).To(gomega.BeNumerically("<", 3*regionHosts*3*configBytes*base64Num/base64Den), "bytes over the link")
+}
+
+// Guards against a region whose hosts all list a table from the platform because the
+// platform has dropped the history of the table, or because their hub has.
+func TestTableListedByEveryHostAfterCompaction(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
+	first := s.put(operatorTable, "config", make([]byte, configBytes))
+	r := startRegion(t, s, regionHosts)
+	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	time.Sleep(time.Second)
+	listsBefore := s.lists.Load()
+	s.put(operatorTable, "version", make([]byte, 100))
+	s.compact()
+	changed := s.put(operatorTable, "config", make([]byte, configBytes))
+	g.Eventually(func() int { return r.receivedBy("config", changed) }, configLimit, "20ms").Should(gomega.Equal(regionHosts))
+	time.Sleep(2 * time.Second)
+	g.Expect(s.lists.Load()-listsBefore).To(gomega.BeNumerically("<=", 4), "lists read over the link")
+}
--- /dev/null
+++ b/internal/relay/region_test.go
@@ -0,0 +1,3 @@
+package relay
+
+func regionOptions(int) []Option { return nil }
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -1,14 +1,19 @@
 package server
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -220,3 +225,54 @@
 		Entry("a value that is missing", `name = "a"`, `name = null`, "cannot be decoded"),
 	)
 })
+
+// rowRecorder is a table that keeps the rows that are written to it.
+type rowRecorder struct {
+	Table
+	mu   sync.Mutex
+	rows [][]byte
+}
+
+func (r *rowRecorder) Put(_ context.Context, _ string, value []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rows = append(r.rows, value)
+	return nil
+}
+
+func (r *rowRecorder) written() [][]byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.rows)
+}
+
+// Guards against rows that grow with the crashes of targets and that every host writes
+// again for a crash that another host has seen: all hosts read them, and the reads
+// filled the link between two regions.
+func TestCrashesOfOtherHostsRewriteRows(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	other := crash.New()
+	for i := range uint32(64) {
+		attempt := fmt.Sprint("attempt-", i)
+		p := crash.NewFingerprint("a", "m", []uint32{i})
+		other.Begin(p, attempt, "i-1234567890", now)
+		other.End(attempt, crash.Crashed, now)
+	}
+	h := &Host{settings: Settings{Name: "a", Zone: "sul-a", Region: "sul"}, crashes: crash.New(), log: zap.NewNop()}
+	recorder := &rowRecorder{}
+	m := &members{host: h, table: recorder, rows: map[string]observedRow{}}
+	for i := range fewHosts + 1 {
+		name := string(rune('a' + i))
+		m.rows[name] = observedRow{memberRow: memberRow{Host: name, Zone: "sul-a"}, firstSeen: time.Minute}
+	}
+	m.readAt = time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }()
+	g.Eventually(recorder.written, "2s", "10ms").Should(HaveLen(1))
+	g.Expect(h.crashes.Import(other.Export(64, now), now)).To(Succeed())
+	g.Consistently(recorder.written, "2900ms", "50ms").Should(HaveLen(1))
+	m.writeRow(ctx, minWriteInterval)
+	g.Expect(len(recorder.written()[1])).To(BeNumerically("<", 512))
+}
