Send records of crashing requests in the messages between hosts, not in their rows

Cause: a host put up to 64 records of requests that had crashed targets into its row of the table of hosts, 13 KB, and wrote the row again for each new record, also for those of other hosts. One crash made every host write, and every host reads all rows, half of them over the link between the regions.

Change: records are soft state that matters for seconds, so they go in the datagrams between hosts: a follower sends its hub what it has seen itself, hubs send all records, at most 12 a message (1 KB), recent ones with each message and others in rotation every 2 s. Requests that have crashed two targets go first. A row holds only what changes seldom.

--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -66,9 +66,12 @@
 	mu        sync.Mutex
 	histories map[Fingerprint]History
 	inFlight  map[string]inFlightAttempt
-	limit     int
-	spread    time.Duration
-	onChanged func()
+	// ownChanges holds the time of the last change that this host itself has made to
+	// a history.
+	ownChanges map[Fingerprint]time.Time
+	limit      int
+	spread     time.Duration
+	onChanged  func()
 	// nextExport rotates through the histories that Export returns in turn.
 	nextExport int
 }
@@ -90,7 +93,7 @@
 // New returns an empty tracker.
 func New(opts ...Option) *Tracker {
 	t := &Tracker{
-		histories: map[Fingerprint]History{}, inFlight: map[string]inFlightAttempt{},
+		histories: map[Fingerprint]History{}, inFlight: map[string]inFlightAttempt{}, ownChanges: map[Fingerprint]time.Time{},
 		limit: maxFingerprints, spread: defaultSpread, onChanged: func() {},
 	}
 	for _, o := range opts {
@@ -121,7 +124,7 @@
 		h := t.histories[p]
 		h.Trial = Trial{ID: attemptID(attempt, target), Target: target, At: now}
 		t.histories[p] = h
-		t.onChanged()
+		t.recordOwnChange(p, now)
 	}
 	t.inFlight[attempt] = inFlightAttempt{print: p, target: target}
 	return true
@@ -153,7 +156,7 @@
 		}
 	}
 	t.store(f.print, h, now)
-	t.onChanged()
+	t.recordOwnChange(f.print, now)
 	switch n, _ := h.activeCrashes(now); {
 	case n >= quarantineCrashes:
 		return Quarantined
@@ -197,19 +200,57 @@
 	return h.record(p, now), ok
 }
 
+// recordOwnChange records that this host itself has changed a history, and reports the
+// change.
+func (t *Tracker) recordOwnChange(p Fingerprint, now time.Time) {
+	if _, ok := t.histories[p]; ok {
+		t.ownChanges[p] = now
+	}
+	t.onChanged()
+}
+
+// forget drops a history.
+func (t *Tracker) forget(p Fingerprint) {
+	delete(t.histories, p)
+	delete(t.ownChanges, p)
+}
+
 // Export returns at most limit records for a heartbeat. Half of them are the
-// newest, and the others are chosen in rotation so that every record reaches
-// every host.
+// newest, those of a recent second crash before all others, as other hosts have to
+// refuse their requests. The others are chosen in rotation so that every record
+// reaches every host.
 func (t *Tracker) Export(limit int, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	all := make([]Record, 0, len(t.histories))
+	return t.sample(limit, now, func(Fingerprint) bool { return true })
+}
+
+// ExportOwn returns at most limit of the records that this host itself has changed
+// within a period. It chooses among them as Export does.
+func (t *Tracker) ExportOwn(limit int, period time.Duration, now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sample(limit, now, func(p Fingerprint) bool {
+		at, ok := t.ownChanges[p]
+		return ok && now.Sub(at) < period
+	})
+}
+
+// sample returns at most limit of the records that match: half of them by rank and
+// age, the others in rotation. The caller holds mu.
+func (t *Tracker) sample(limit int, now time.Time, matches func(Fingerprint) bool) []Record {
+	var all []Record
 	for p, h := range t.histories {
-		all = append(all, h.record(p, now))
+		if matches(p) {
+			all = append(all, h.record(p, now))
+		}
 	}
 	slices.SortFunc(all, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(slices.Min(a.Ages), slices.Min(b.Ages)), slices.Compare(a.Print[:], b.Print[:]))
+		return cmp.Or(
+			cmp.Compare(a.exportRank(t.spread), b.exportRank(t.spread)),
+			cmp.Compare(slices.Min(a.Ages), slices.Min(b.Ages)), slices.Compare(a.Print[:], b.Print[:]),
+		)
 	})
 	if len(all) <= limit {
 		return all
@@ -222,6 +263,15 @@
 	return out
 }
 
+// exportRank is lower for records that other hosts need sooner: those of requests that
+// have crashed more than one target, the last one within a period.
+func (r Record) exportRank(period time.Duration) int {
+	if len(r.IDs) > 1 && time.Duration(slices.Min(r.Ages))*time.Millisecond < period {
+		return 0
+	}
+	return 1
+}
+
 // Import merges the records of another host. It skips invalid records and returns
 // the error of the last one.
 func (t *Tracker) Import(records []Record, now time.Time) error {
@@ -259,7 +309,7 @@
 // the oldest.
 func (t *Tracker) store(p Fingerprint, h History, now time.Time) {
 	if now.Sub(h.lastCrash()) >= crashRetention {
-		delete(t.histories, p)
+		t.forget(p)
 		return
 	}
 	t.histories[p] = h
@@ -276,7 +326,7 @@
 				evicted, fewest, oldest = q, n, f.lastCrash()
 			}
 		}
-		delete(t.histories, evicted)
+		t.forget(evicted)
 	}
 }
 
@@ -284,7 +334,7 @@
 func (t *Tracker) expire(now time.Time) {
 	for p, h := range t.histories {
 		if now.Sub(h.lastCrash()) >= crashRetention {
-			delete(t.histories, p)
+			t.forget(p)
 		}
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -9,8 +9,9 @@
 // replies with the sum of what all other hosts have in flight; hubs send each
 // other the sums of their followers. The traffic of a host then does not grow with
 // the number of hosts. A follower switches to the next hub after three queries
-// without a reply. Desired weight versions, loading engines and the versions of
-// the platform's tables spread in the same messages.
+// without a reply. Desired weight versions, loading engines, the versions of the
+// platform's tables and records of requests that crash targets spread in the same
+// messages.
 //
 // # Usage
 //
@@ -31,6 +32,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
@@ -66,6 +68,8 @@
 	// OmitsLoad is set in messages without in-flight load, and in queries for a reply
 	// without it. The load of the last full message still counts.
 	OmitsLoad bool `cbor:"11,keyasint,omitempty"`
+	// Crashes are records of requests that have crashed targets.
+	Crashes []crash.Record `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind is the kind of a message.
@@ -160,6 +164,7 @@
 	weights   Weights
 	roster    Roster
 	tables    Tables
+	crashes   Crashes
 	log       *zap.Logger
 
 	mu sync.Mutex
@@ -172,7 +177,8 @@
 	// nextLoadAt is the boot time from which messages may hold in-flight load again.
 	nextLoadAt time.Duration
 	// progress is the last received progress of the host that orders engines.
-	progress receivedProgress
+	progress   receivedProgress
+	crashBatch crashBatch
 }
 
 // Option changes a default of New.
@@ -190,6 +196,9 @@
 // WithTables sets the view of the versions of the platform's tables.
 func WithTables(t Tables) Option { return func(e *Exchange) { e.tables = t } }
 
+// WithCrashes sets the records of requests that have crashed targets.
+func WithCrashes(c Crashes) Option { return func(e *Exchange) { e.crashes = c } }
+
 // WithWeights sets the view of desired weight versions and of the rollout.
 func WithWeights(w Weights) Option { return func(e *Exchange) { e.weights = w } }
 
--- a/internal/gossip/hub_test.go
+++ b/internal/gossip/hub_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
@@ -86,6 +87,7 @@
 	var addresses [hosts]string
 	var fleets [hosts]*fleet.Fleet
 	var recorders [hosts]*recorder
+	var trackers [hosts]*crash.Tracker
 	var stop [hosts]context.CancelFunc
 	BeforeEach(func() {
 		var running sync.WaitGroup
@@ -95,6 +97,7 @@
 			addresses[i] = c.LocalAddr().String()
 			Expect(c.Close()).To(Succeed())
 			fleets[i], recorders[i] = fleet.New(), &recorder{desiredByHost: map[string]map[string]DesiredVersion{}}
+			trackers[i] = crash.New()
 			fleets[i].Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
 		}
 		recorders[0].versions = map[string]relay.TableVersion{"op": {Version: 7}}
@@ -106,7 +109,7 @@
 				}
 				return Topology{Hubs: []string{addresses[i%hubs], addresses[1-i%hubs]}}
 			}
-			e := New(addresses[i], fmt.Sprint("host-", i), fleets[i], topology, WithWeights(recorders[i]), WithTables(recorders[i]))
+			e := New(addresses[i], fmt.Sprint("host-", i), fleets[i], topology, WithWeights(recorders[i]), WithTables(recorders[i]), WithCrashes(trackers[i]))
 			var ctx context.Context
 			ctx, stop[i] = context.WithCancel(context.Background())
 			running.Go(func() {
@@ -172,6 +175,39 @@
 		Consistently(func() int { return desiredOfLast(4)().Version }, "300ms", "20ms").Should(BeZero())
 	})
 
+	// Guards against a request that goes on crashing targets at other hosts: each host has
+	// to refuse it within the 4 s in which all are in contact, also while many harmless
+	// requests are suspects because targets were lost.
+	It("send each host the records of crashes, repeated ones first", func() {
+		now := time.Now()
+		crashed := func(host int, p crash.Fingerprint, attempt string) {
+			trackers[host].Begin(p, attempt, "target-"+attempt, now)
+			trackers[host].End(attempt, crash.Crashed, now)
+		}
+		for i := range uint32(600) {
+			crashed(int(i)%hosts, crash.NewFingerprint("a", "m", []uint32{i}), fmt.Sprint("lost-", i))
+		}
+		p := crash.NewFingerprint("a", "m", nil)
+		crashed(4, p, "1")
+		crashed(4, p, "2")
+		for i := range hosts {
+			Eventually(func() crash.Decision { return trackers[i].Admit(p, time.Now()) }, "2s", "10ms").Should(BeAssignableToTypeOf(crash.Refuse{}))
+		}
+	})
+
+	It("add up the crashes of a request at two hosts", func() {
+		now := time.Now()
+		p := crash.NewFingerprint("a", "m", nil)
+		for _, host := range []int{2, 5} {
+			attempt := fmt.Sprint(host)
+			Expect(trackers[host].Begin(p, attempt, "target-"+attempt, now)).To(BeTrue())
+			trackers[host].End(attempt, crash.Crashed, now)
+		}
+		for i := range hosts {
+			Eventually(func() crash.Decision { return trackers[i].Admit(p, time.Now()) }, "2s", "10ms").Should(BeAssignableToTypeOf(crash.Refuse{}))
+		}
+	})
+
 	It("announce the versions of the platform's tables", func() {
 		for _, i := range []int{1, 2, 3, 4, 5} {
 			Eventually(func() (v uint64) {
@@ -197,7 +233,13 @@
 				f.Begin(t.ID, fleet.InFlight{Tokens: 100_000, PrefillTokens: 100_000, FetchTokens: 100_000})
 			}
 		}
-		return f, New("", "hub", f, nil)
+		tracker := crash.New()
+		for i := range uint32(600) {
+			p, attempt := crash.NewFingerprint("a", "m", []uint32{i}), fmt.Sprint(i)
+			tracker.Begin(p, attempt, fmt.Sprintf("i-%010d", i), time.Now())
+			tracker.End(attempt, crash.Crashed, time.Now())
+		}
+		return f, New("", "hub", f, nil, WithCrashes(tracker))
 	}
 
 	It("fit a datagram with the targets that have the most calls", func() {
@@ -207,6 +249,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(len(b)).To(BeNumerically("<=", maxDatagramBytes))
 			Expect(m.InFlight).To(HaveLen(maxTargets))
+			Expect(m.Crashes).To(HaveLen(maxCrashRecords))
 			for _, f := range m.InFlight {
 				Expect(f.Calls).To(Equal(2))
 			}
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -85,12 +86,18 @@
 }
 
 // recordSharedState records the unreachable targets in a message, the registration of
-// its sender, the progress of the rollout and the desired weight versions.
+// its sender, the crash records, the progress of the rollout and the desired weight
+// versions.
 func (e *Exchange) recordSharedState(m Message) {
 	e.fleet.Suspect(m.Host, m.Unreachable)
 	if m.Registered && e.roster != nil {
 		e.roster.RecordRegisteredPeer()
 	}
+	if e.crashes != nil && len(m.Crashes) > 0 {
+		if err := e.crashes.Import(m.Crashes, time.Now()); err != nil {
+			e.log.Warn("crash records of another host are invalid", zap.String("from", m.Host), zap.Error(err))
+		}
+	}
 	if e.weights == nil {
 		return
 	}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -148,6 +148,7 @@
 func (e *Exchange) messageWithoutLoad(k Kind) Message {
 	m := Message{Host: e.host, Kind: k, Unreachable: e.fleet.Unreachable()}
 	m.Registered = e.roster != nil && e.roster.Registered()
+	m.Crashes = e.crashRecords(k)
 	if e.weights == nil {
 		return m
 	}
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -172,6 +172,7 @@
 	t.Add("hail", gossip.New(
 		h.settings.Peer, h.settings.Name, h.fleet, h.members.topology, gossip.WithLog(h.log),
 		gossip.WithOnMessage(h.proxy.DispatchSoon), gossip.WithWeights(h), gossip.WithRoster(h.members), gossip.WithTables(h.tables),
+		gossip.WithCrashes(h.crashes),
 	).Run)
 	h.leasedTask.addComponents(t)
 	return errors.Trace(t.Run(componentCtx))
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -54,11 +52,10 @@
 	// before its first read of the rows; minAssumedHosts is the least it ever assumes.
 	assumedHosts    = 8
 	minAssumedHosts = 2
-	// maxCrashRecords is the largest number of records of crashing requests in a row.
-	maxCrashRecords = 64
 )
 
-// memberRow is the row of a host.
+// memberRow is the row of a host. Every host reads the rows of all hosts, also over the
+// links between regions, so a row holds only what changes seldom.
 type memberRow struct {
 	Host string `json:"host"`
 	Zone string `json:"zone"`
@@ -72,8 +69,6 @@
 	// Capacity is the host's share of a CPU core times the rate of its link in
 	// megabits per second.
 	Capacity float64 `json:"width,omitempty"`
-	// Crashes are records of requests that have crashed targets.
-	Crashes []crash.Record `json:"poison,omitempty"`
 }
 
 // lifetime returns how long the host counts as alive after a write of the row.
@@ -117,11 +112,11 @@
 
 // Run writes this host's row until ctx is cancelled.
 func (m *members) Run(ctx context.Context) error {
-	var nextWrite, lastWrite time.Duration
+	var nextWrite time.Duration
 	for {
-		if now := wire.BootTime(); now >= nextWrite || m.crashedWithin(now-lastWrite) {
+		if now := wire.BootTime(); now >= nextWrite {
 			interval := m.writeInterval()
-			lastWrite, nextWrite = now, now+pause.Jitter(writeIntervalFewHosts)
+			nextWrite = now + pause.Jitter(writeIntervalFewHosts)
 			if m.writeRow(ctx, interval) {
 				nextWrite = now + pause.Jitter(interval)
 			}
@@ -132,17 +127,6 @@
 	}
 }
 
-// crashedWithin reports whether a request has crashed a target within the last period,
-// which other hosts should learn soon.
-func (m *members) crashedWithin(period time.Duration) bool {
-	for _, r := range m.host.crashes.Export(1, time.Now()) {
-		if time.Duration(slices.Min(r.Ages))*time.Millisecond < period {
-			return true
-		}
-	}
-	return false
-}
-
 // writeInterval returns the time between two writes of this host's row.
 func (m *members) writeInterval() time.Duration {
 	n := m.hostCount()
@@ -162,7 +146,7 @@
 	own := m.host.settings
 	row := memberRow{
 		Host: own.Name, Zone: own.Zone, Peer: own.Peer, Writes: m.writes, Capacity: own.relayCapacity(),
-		LifeMillis: (missedWrites * interval).Milliseconds(), Crashes: m.host.crashes.Export(maxCrashRecords, time.Now()),
+		LifeMillis: (missedWrites * interval).Milliseconds(),
 	}
 	b, err := json.Marshal(row)
 	if err != nil {
@@ -286,21 +270,13 @@
 	return 0
 }
 
-// updateRow records a row of a host and imports its crash records.
+// updateRow records a row of a host.
 func (m *members) updateRow(row memberRow, version uint64, now time.Duration) {
 	m.mu.Lock()
-	old, ok := m.rows[row.Host]
-	changed := !ok || old.version != version
-	if changed {
+	defer m.mu.Unlock()
+	if old, ok := m.rows[row.Host]; !ok || old.version != version {
 		m.rows[row.Host] = observedRow{memberRow: row, version: version, firstSeen: now}
 	}
-	m.mu.Unlock()
-	if !changed || row.Host == m.host.settings.Name || len(row.Crashes) == 0 {
-		return
-	}
-	if err := m.host.crashes.Import(row.Crashes, time.Now()); err != nil {
-		m.host.log.Warn("crash records of another host are invalid", zap.String("from", row.Host), zap.Error(err))
-	}
 }
 
 // hostCount returns the number of hosts that share budgets.
