Let hubs serve all rows of a table, so that a compaction does not make every host list it

When the platform dropped its history, the leader of a region listed the table and its log of changes started anew.

The log now holds all rows. After a list it still knows what changed since before, including removals; a host that is further behind lists the table from its hub. A 410 is an answer of the platform, so the hub goes on announcing the table meanwhile; before, its silence sent every follower to the platform.

--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -8,18 +8,21 @@
 	"sesamehill.example/sesamehill/internal/feed"
 )
 
-// maxKeys bounds the rows of a change log. If a table has more changes, hosts that
-// are far behind list it from the platform instead.
+// maxKeys bounds the rows of a change log. If a table has more, hosts that are far
+// behind list it from the platform instead.
 const maxKeys = 4096
 
-// changeLog holds the changes of a table since a version: for each key the newest
-// row, or its removal.
+// changeLog holds the rows of a table and their changes since a version: for each key
+// the newest row, or its removal.
 type changeLog struct {
 	since, version uint64
 	rows           map[string]feed.Row
-	// currentAt is the boot time at which the table was last known to be at version;
-	// zero while the table cannot be read.
+	// complete says that rows has all rows of the table.
+	complete bool
+	// currentAt is the boot time at which the table was last known to be at version.
 	currentAt time.Duration
+	// failing says that the last read from the platform failed.
+	failing bool
 }
 
 // reset restarts the log without changes at a version of the table.
@@ -27,6 +30,30 @@
 	*l = changeLog{since: version, version: version, rows: map[string]feed.Row{}, currentAt: currentAt}
 }
 
+// setAll records all rows of the table at a version. If the log had all rows before,
+// it still reaches back as far, so that hosts which are behind need only the changes.
+func (l *changeLog) setAll(listed []feed.Row, version uint64, currentAt time.Duration) {
+	since, before := version, map[string]feed.Row(nil)
+	if l.complete {
+		since, before = l.since, l.rows
+	}
+	l.reset(version, currentAt)
+	l.since, l.complete = since, true
+	for _, r := range listed {
+		l.rows[r.Key] = r
+	}
+	for key, r := range before {
+		if _, ok := l.rows[key]; ok {
+			continue
+		}
+		if !r.Removed {
+			r = feed.Row{Key: key, Version: version, Removed: true}
+		}
+		l.rows[key] = r
+	}
+	l.limit()
+}
+
 // add records the changes between two versions. Changes that leave a gap after the
 // recorded ones restart the log.
 func (l *changeLog) add(after uint64, rows []feed.Row, version uint64, currentAt time.Duration) {
@@ -42,7 +69,21 @@
 		return // an older version is not the current one
 	}
 	l.version, l.currentAt = version, max(l.currentAt, currentAt)
-	if len(l.rows) > maxKeys {
+	l.limit()
+}
+
+// limit drops the removals, or else all rows, if the log has too many.
+func (l *changeLog) limit() {
+	if len(l.rows) <= maxKeys {
+		return
+	}
+	for key, r := range l.rows {
+		if r.Removed {
+			delete(l.rows, key)
+		}
+	}
+	l.since = l.version
+	if !l.complete || len(l.rows) > maxKeys {
 		l.reset(l.version, l.currentAt)
 	}
 }
@@ -53,12 +94,34 @@
 	if l.rows == nil || version < l.since {
 		return nil, false
 	}
+	return l.sorted(func(r feed.Row) bool { return r.Version > version }), true
+}
+
+// all returns all rows of the table, sorted by version; false if the log does not have
+// them.
+func (l *changeLog) all() ([]feed.Row, bool) {
+	if !l.complete {
+		return nil, false
+	}
+	return l.sorted(func(r feed.Row) bool { return !r.Removed }), true
+}
+
+func (l *changeLog) sorted(matches func(feed.Row) bool) []feed.Row {
 	var out []feed.Row
 	for _, r := range l.rows {
-		if r.Version > version {
+		if matches(r) {
 			out = append(out, r)
 		}
 	}
 	slices.SortFunc(out, func(a, b feed.Row) int { return cmp.Compare(a.Version, b.Version) })
-	return out, true
+	return out
+}
+
+// size returns the bytes of the keys and values of rows.
+func size(rows []feed.Row) int {
+	n := 0
+	for _, r := range rows {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,9 @@
 // cannot read the table, the host follows the table on the platform itself. The
 // version of a table never decreases, whichever source it comes from.
 //
+// A table that the platform lists anew, because its history is gone, is read from a
+// hub if the hub has all rows.
+//
 // A Relay sits between a feed.Watch and the platform, so that the watch does not
 // depend on where the changes come from.
 //
@@ -26,6 +29,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -51,7 +55,10 @@
 	// pollSlack is added to the wait of a call to the platform before it counts as
 	// failed. Without a short timeout a lost response would withhold the changes from
 	// this host, and from all hosts that depend on it, for a whole long poll.
-	pollSlack    = 700 * time.Millisecond
+	pollSlack = 700 * time.Millisecond
+	// listTimeout is the time until the first data of a list of a table.
+	listTimeout = 1500 * time.Millisecond
+	// queryTimeout is the longest time without data of a hub's reply.
 	queryTimeout = 600 * time.Millisecond
 )
 
@@ -66,10 +73,13 @@
 type Query struct {
 	Table string `cbor:"1,keyasint"`
 	After uint64 `cbor:"2,keyasint"`
+	// All asks for all rows in place of the changes.
+	All bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Reply holds the changes of a table up to a version. Incomplete says that the hub
-// does not have all changes since the version of the query.
+// Reply holds the changes of a table up to a version, or all rows. Incomplete says
+// that the hub does not have all changes since the version of the query, or not all
+// rows.
 type Reply struct {
 	Rows       []feed.Row `cbor:"1,keyasint,omitempty"`
 	Version    uint64     `cbor:"2,keyasint,omitempty"`
@@ -142,7 +152,8 @@
 func New(platform feed.Source, query QueryFunc, opts ...Option) *Relay {
 	r := &Relay{
 		platform: platform, queryHub: query, now: wire.BootTime, isLeader: func() bool { return false }, isHub: func() bool { return false },
-		slow: map[string]bool{}, logs: map[string]*changeLog{}, announced: map[string]announcement{}, updated: make(chan struct{}),
+		slow: map[string]bool{},
+		logs: map[string]*changeLog{}, announced: map[string]announcement{}, updated: make(chan struct{}),
 		stats: map[Source]map[string]*ReadStats{}, logger: zap.NewNop(),
 	}
 	for _, o := range opts {
@@ -164,7 +175,7 @@
 		currentAt := now - time.Duration(v.AgeMs)*time.Millisecond
 		r.announced[table] = announcement{version: v.Version, currentAt: currentAt}
 		if l := r.log(table); l.version == v.Version {
-			l.currentAt = max(l.currentAt, currentAt)
+			l.currentAt, l.failing = max(l.currentAt, currentAt), false
 		}
 	}
 	close(r.updated)
@@ -178,7 +189,7 @@
 	now := r.now()
 	out := make(map[string]TableVersion, len(r.logs))
 	for table, l := range r.logs {
-		if l.currentAt != 0 && now-l.currentAt <= r.currentTTL(table) {
+		if !l.failing && l.currentAt != 0 && now-l.currentAt <= r.currentTTL(table) {
 			out[table] = TableVersion{Version: l.version, AgeMs: (now - l.currentAt).Milliseconds() + 1}
 		}
 	}
@@ -194,6 +205,9 @@
 		return Reply{Incomplete: true}
 	}
 	rows, ok := l.after(q.After)
+	if q.All {
+		rows, ok = l.all()
+	}
 	if !ok {
 		return Reply{Incomplete: true}
 	}
@@ -229,22 +243,51 @@
 	return platform, hubs
 }
 
-// List returns all rows of a table. It always reads them from the platform.
+// List returns all rows of a table. It reads them from the hub if the hub has them and
+// its announcement is recent, and from the platform otherwise.
 func (r *Relay) List(ctx context.Context, table string) ([]feed.Row, uint64, error) {
+	if s := r.hubState(table, r.version(table), r.now()); s.usable {
+		if a, ok := r.queryOnce(ctx, s, Query{Table: table, All: true}); ok {
+			r.recordAll(table, a.Rows, a.Version, s.announcement.currentAt)
+			return a.Rows, a.Version, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	d := r.beginRead(FromPlatform, table, 0)
 	rows, version, err := r.platform.List(ctx, table)
 	r.endRead(d, rows, err)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.log(table)
 	if err != nil {
-		l.currentAt = 0
+		r.recordFailure(table)
 		return nil, 0, err
 	}
-	l.reset(version, d.startedAt)
+	r.recordAll(table, rows, version, d.startedAt)
 	return rows, version, nil
 }
 
+// version returns the version of a table up to which this host has the changes.
+func (r *Relay) version(table string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log(table).version
+}
+
+// recordAll records all rows of a table for queries of other hosts.
+func (r *Relay) recordAll(table string, rows []feed.Row, version uint64, currentAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.log(table); version >= l.version {
+		l.setAll(rows, version, currentAt)
+	}
+}
+
+// recordFailure records that a table could not be read.
+func (r *Relay) recordFailure(table string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log(table).failing = true
+}
+
 // Changes returns the changes of a table after a version and waits if there are
 // none yet. It reads them from the hub while the hub's announcements are recent, and
 // from the platform otherwise.
@@ -316,26 +359,29 @@
 	d := r.beginRead(FromPlatform, table, after)
 	rows, version, err := r.platform.Changes(ctx, table, after, wait)
 	r.endRead(d, rows, err)
+	var expired *feed.HistoryExpiredError
+	switch {
+	case errors.As(err, &expired):
+		// The platform has answered, so the hub that this host may be can go on
+		// announcing the table until it has listed it.
+		return nil, 0, err
+	case err != nil:
+		r.recordFailure(table)
+		return nil, 0, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(table)
-	if err != nil {
-		l.currentAt = 0
-		return nil, 0, err
-	}
 	l.add(after, rows, max(version, after), r.now())
+	l.failing = false
 	return rows, version, nil
 }
 
 // fetchFromHub queries the hub for the changes that it has announced and records
 // them for queries of other hosts; false if the hub does not have all of them.
 func (r *Relay) fetchFromHub(ctx context.Context, s hubState, q Query) ([]feed.Row, uint64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
-	d := r.beginRead(FromHub, q.Table, q.After)
-	a, err := r.queryHub(ctx, s.hub, q)
-	r.endRead(d, a.Rows, err)
-	if err != nil || a.Incomplete || a.Version < q.After {
+	a, ok := r.queryOnce(ctx, s, q)
+	if !ok || a.Version < q.After {
 		return nil, 0, false
 	}
 	r.mu.Lock()
@@ -344,6 +390,16 @@
 	return a.Rows, a.Version, true
 }
 
+// queryOnce sends a query to the hub; false if the hub does not have what it asks for.
+func (r *Relay) queryOnce(ctx context.Context, s hubState, q Query) (Reply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	d := r.beginRead(FromHub, q.Table, q.After)
+	a, err := r.queryHub(ctx, s.hub, q)
+	r.endRead(d, a.Rows, err)
+	return a, err == nil && !a.Incomplete && a.Version != 0
+}
+
 // hubsInUse reports whether there are hubs: this host is one, or has received an
 // announcement of one. A host that has lost its hub then polls the platform as often
 // as the hubs do.
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -63,29 +63,26 @@
 // endRead counts the result of a read. It logs reads that failed or were large, with
 // the time since the table was last known to be current.
 func (r *Relay) endRead(d read, rows []feed.Row, err error) {
-	size := 0
-	for _, row := range rows {
-		size += len(row.Key) + len(row.Value)
-	}
+	bytes := size(rows)
 	r.mu.Lock()
 	stats := r.tableStats(d.source, d.table)
 	if err != nil {
 		stats.Failures++
 	}
 	stats.Rows += uint64(len(rows))
-	stats.Bytes += uint64(size)
+	stats.Bytes += uint64(bytes)
 	now := r.now()
 	var gap time.Duration
 	if l := r.log(d.table); l.currentAt != 0 {
 		gap = now - l.currentAt
 	}
 	r.mu.Unlock()
-	if err == nil && size < largeReadBytes {
+	if err == nil && bytes < largeReadBytes {
 		return
 	}
 	r.logger.Info(
 		"platform table read", zap.String("table", d.table), zap.String("source", string(d.source)), zap.Uint64("after", d.after),
-		zap.Int("rows", len(rows)), zap.Int("bytes", size), zap.Int64("took", (now-d.startedAt).Milliseconds()),
+		zap.Int("rows", len(rows)), zap.Int("bytes", bytes), zap.Int64("took", (now-d.startedAt).Milliseconds()),
 		zap.Int64("gap", gap.Milliseconds()), zap.Error(err),
 	)
 }
