Read the present rows of a table after a gap or a cut read, and do not cut reads that make progress

A host that had missed the announcements read from the platform every write of a table since then, and a read that was not over 0.7 s after its wait was cut and asked for again with the same version: the bytes were spent and nothing was gained.

After a read that was cut all the same, and after a gap of 4 s in the operator's table and the table of hosts, whose rows are few and rewritten whole, the host reads the present rows.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,9 +15,9 @@
 	// pollWait is the length of a long poll. The keep-alive probes detect a dead
 	// connection sooner.
 	pollWait = 6 * time.Second
-	// pollSlack is added to pollWait before a call counts as failed.
-	pollSlack   = 700 * time.Millisecond
-	listTimeout = 1500 * time.Millisecond
+	// transferTimeout bounds the time in which the rows of a call are received. A source
+	// notices sooner that no data arrives.
+	transferTimeout = 8 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
@@ -133,7 +133,7 @@
 	if !w.listed {
 		return w.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
+	ctx, cancel := context.WithTimeout(ctx, pollWait+transferTimeout)
 	defer cancel()
 	rows, version, err := w.source.Changes(ctx, w.table, w.version, pollWait)
 	if err != nil {
@@ -151,7 +151,7 @@
 }
 
 func (w *Watch) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	rows, version, err := w.source.List(ctx, w.table)
 	if err != nil {
--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -21,8 +21,9 @@
 	complete bool
 	// currentAt is the boot time at which the table was last known to be at version.
 	currentAt time.Duration
-	// failing says that the last read from the platform failed.
-	failing bool
+	// failing says that the last read from the platform failed, and cutOff that one
+	// failed while it received data and none has succeeded since.
+	failing, cutOff bool
 }
 
 // reset restarts the log without changes at a version of the table.
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -13,6 +13,7 @@
 
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
 const (
@@ -57,6 +58,7 @@
 		l.bytes.Add(int64(window))
 		select {
 		case <-time.After(time.Until(arrivesAt)):
+			wire.ReportProgress(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/relay/region_test.go
+++ b/internal/relay/region_test.go
@@ -1,3 +1,3 @@
 package relay
 
-func regionOptions(int) []Option { return nil }
+func regionOptions(int) []Option { return []Option{WithPresentRows(operatorTable, hostsTable)} }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,8 +10,15 @@
 // cannot read the table, the host follows the table on the platform itself. The
 // version of a table never decreases, whichever source it comes from.
 //
-// A table that the platform lists anew, because its history is gone, is read from a
-// hub if the hub has all rows.
+// All hosts of a region may lose their hubs at once, and the platform may stand
+// behind a link that they share. What the hosts then read together is bounded:
+//
+//   - A host whose read was cut off while it received data asks for the present rows
+//     next, not for the same history again. Where rows are few and often rewritten
+//     (see WithPresentRows), it does so after each longer gap.
+//   - A read is not cut off while it receives data.
+//   - A table that the platform lists anew, because its history is gone, is read from a
+//     hub if the hub has all rows.
 //
 // A Relay sits between a feed.Watch and the platform, so that the watch does not
 // depend on where the changes come from.
@@ -60,6 +67,9 @@
 	listTimeout = 1500 * time.Millisecond
 	// queryTimeout is the longest time without data of a hub's reply.
 	queryTimeout = 600 * time.Millisecond
+	// maxHistoryGap is the time since a table was current after which a table of
+	// WithPresentRows is listed.
+	maxHistoryGap = 4 * time.Second
 )
 
 // TableVersion is the version of a table and how long ago it was known to be
@@ -115,6 +125,16 @@
 	}
 }
 
+// WithPresentRows sets the tables that have few rows, each of which is often rewritten.
+// After a longer gap their present rows are shorter than their history.
+func WithPresentRows(tables ...string) Option {
+	return func(r *Relay) {
+		for _, t := range tables {
+			r.presentRows[t] = true
+		}
+	}
+}
+
 // announcement is the version of a table that a hub announced.
 type announcement struct {
 	version uint64
@@ -131,7 +151,9 @@
 	isLeader func() bool
 	isHub    func() bool
 	slow     map[string]bool
-	logger   *zap.Logger
+	// presentRows are the tables of WithPresentRows.
+	presentRows map[string]bool
+	logger      *zap.Logger
 
 	mu   sync.Mutex
 	logs map[string]*changeLog
@@ -152,7 +174,7 @@
 func New(platform feed.Source, query QueryFunc, opts ...Option) *Relay {
 	r := &Relay{
 		platform: platform, queryHub: query, now: wire.BootTime, isLeader: func() bool { return false }, isHub: func() bool { return false },
-		slow: map[string]bool{},
+		slow: map[string]bool{}, presentRows: map[string]bool{},
 		logs: map[string]*changeLog{}, announced: map[string]announcement{}, updated: make(chan struct{}),
 		stats: map[Source]map[string]*ReadStats{}, logger: zap.NewNop(),
 	}
@@ -252,13 +274,13 @@
 			return a.Rows, a.Version, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := wire.WithStallTimeout(ctx, listTimeout, pollSlack)
 	defer cancel()
 	d := r.beginRead(FromPlatform, table, 0)
 	rows, version, err := r.platform.List(ctx, table)
 	r.endRead(d, rows, err)
 	if err != nil {
-		r.recordFailure(table)
+		r.recordFailure(table, false)
 		return nil, 0, err
 	}
 	r.recordAll(table, rows, version, d.startedAt)
@@ -281,16 +303,20 @@
 	}
 }
 
-// recordFailure records that a table could not be read.
-func (r *Relay) recordFailure(table string) {
+// recordFailure records that a table could not be read. cutOff says that data had been
+// received.
+func (r *Relay) recordFailure(table string, cutOff bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log(table).failing = true
+	l := r.log(table)
+	l.failing = true
+	l.cutOff = l.cutOff || cutOff
 }
 
 // Changes returns the changes of a table after a version and waits if there are
 // none yet. It reads them from the hub while the hub's announcements are recent, and
-// from the platform otherwise.
+// from the platform otherwise. It returns a *feed.HistoryExpiredError if the present
+// rows are to be read in place of the changes.
 func (r *Relay) Changes(
 	ctx context.Context, table string, after uint64, wait time.Duration,
 ) ([]feed.Row, uint64, error) {
@@ -354,7 +380,10 @@
 		wait = min(wait, r.pollWait(table))
 	}
 	wait = max(wait, 0)
-	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
+	if r.needsPresentRows(table) {
+		return nil, 0, &feed.HistoryExpiredError{Table: table, After: after}
+	}
+	ctx, cancel := wire.WithStallTimeout(ctx, wait+pollSlack, pollSlack)
 	defer cancel()
 	d := r.beginRead(FromPlatform, table, after)
 	rows, version, err := r.platform.Changes(ctx, table, after, wait)
@@ -366,15 +395,29 @@
 		// announcing the table until it has listed it.
 		return nil, 0, err
 	case err != nil:
-		r.recordFailure(table)
+		r.recordFailure(table, wire.Progressed(ctx))
 		return nil, 0, err
 	}
+	r.recordChanges(table, after, rows, max(version, after))
+	return rows, version, nil
+}
+
+// recordChanges records changes that were read from the platform.
+func (r *Relay) recordChanges(table string, after uint64, rows []feed.Row, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(table)
-	l.add(after, rows, max(version, after), r.now())
-	l.failing = false
-	return rows, version, nil
+	l.add(after, rows, version, r.now())
+	l.failing, l.cutOff = false, false
+}
+
+// needsPresentRows reports whether the present rows of a table are to be read in place
+// of its history.
+func (r *Relay) needsPresentRows(table string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.log(table)
+	return l.cutOff || r.presentRows[table] && r.now()-l.currentAt > maxHistoryGap
 }
 
 // fetchFromHub queries the hub for the changes that it has announced and records
@@ -392,7 +435,7 @@
 
 // queryOnce sends a query to the hub; false if the hub does not have what it asks for.
 func (r *Relay) queryOnce(ctx context.Context, s hubState, q Query) (Reply, bool) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	ctx, cancel := wire.WithStallTimeout(ctx, queryTimeout, queryTimeout)
 	defer cancel()
 	d := r.beginRead(FromHub, q.Table, q.After)
 	a, err := r.queryHub(ctx, s.hub, q)
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -80,7 +80,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("host at %s answered with status %d; query another host", peer, resp.StatusCode)
 	}
-	body, err := p.pool.Read(resp.Body, maxReplyBytes)
+	body, err := p.pool.Read(wire.ProgressReader(ctx, resp.Body), maxReplyBytes)
 	if err != nil {
 		return errors.Trace(err)
 	}
