Spread the reads of slow tables over the hosts of a region that has lost its hubs

When followers had lost the announcements for the 8 s of a slow table, all of them read the table of hosts from the platform at once, and again every 2 s: the cost grew with the number of hosts times the size of the table, and nothing bounded it.

Each host now delays its first read by a random time within that in which the hosts of its region can read the table at 1 MB/s together, and each further one by its share of what the last one returned. As soon as a hub announces the table again, the host reads it there. The operator's table and the list of targets are not delayed.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,8 @@
 //   - A read is not cut off while it receives data.
 //   - A table that the platform lists anew, because its history is gone, is read from a
 //     hub if the hub has all rows.
+//   - Reads of slow tables are spread in time, so that the hosts of a region together
+//     read at most fallbackBytesPerSecond.
 //
 // A Relay sits between a feed.Watch and the platform, so that the watch does not
 // depend on where the changes come from.
@@ -37,12 +39,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -70,6 +77,10 @@
 	// maxHistoryGap is the time since a table was current after which a table of
 	// WithPresentRows is listed.
 	maxHistoryGap = 4 * time.Second
+	// fallbackBytesPerSecond is what the hosts of a region together read of a slow
+	// table from the platform when they have lost their hubs: a seventh of a link of
+	// 60 Mbit/s.
+	fallbackBytesPerSecond = 1 << 20
 )
 
 // TableVersion is the version of a table and how long ago it was known to be
@@ -135,6 +146,9 @@
 	}
 }
 
+// WithRegionHosts sets a function that returns the number of hosts of this region.
+func WithRegionHosts(f func() int) Option { return func(r *Relay) { r.regionHosts = f } }
+
 // announcement is the version of a table that a hub announced.
 type announcement struct {
 	version uint64
@@ -153,6 +167,7 @@
 	slow     map[string]bool
 	// presentRows are the tables of WithPresentRows.
 	presentRows map[string]bool
+	regionHosts func() int
 	logger      *zap.Logger
 
 	mu   sync.Mutex
@@ -164,6 +179,9 @@
 	hubRetryAt time.Duration
 	// updated is closed, and replaced, with each announcement of a hub.
 	updated chan struct{}
+	// fallbackAt holds, for slow tables that no hub announces, the boot time from which
+	// this host reads them from the platform.
+	fallbackAt map[string]time.Duration
 	// stats counts the reads by source and table.
 	stats map[Source]map[string]*ReadStats
 }
@@ -174,8 +192,8 @@
 func New(platform feed.Source, query QueryFunc, opts ...Option) *Relay {
 	r := &Relay{
 		platform: platform, queryHub: query, now: wire.BootTime, isLeader: func() bool { return false }, isHub: func() bool { return false },
-		slow: map[string]bool{}, presentRows: map[string]bool{},
-		logs: map[string]*changeLog{}, announced: map[string]announcement{}, updated: make(chan struct{}),
+		slow: map[string]bool{}, presentRows: map[string]bool{}, regionHosts: func() int { return 1 },
+		fallbackAt: map[string]time.Duration{}, logs: map[string]*changeLog{}, announced: map[string]announcement{}, updated: make(chan struct{}),
 		stats: map[Source]map[string]*ReadStats{}, logger: zap.NewNop(),
 	}
 	for _, o := range opts {
@@ -284,6 +302,7 @@
 		return nil, 0, err
 	}
 	r.recordAll(table, rows, version, d.startedAt)
+	r.delayNextFallback(table, rows)
 	return rows, version, nil
 }
 
@@ -325,7 +344,13 @@
 		s := r.hubState(table, after, deadline)
 		switch {
 		case !s.usable:
-			return r.pollPlatform(ctx, table, after, deadline-r.now())
+			delayed, err := r.delayFallback(ctx, table, deadline)
+			if err != nil {
+				return nil, 0, err
+			}
+			if !delayed {
+				return r.pollPlatform(ctx, table, after, deadline-r.now())
+			}
 		case s.newer:
 			if rows, version, ok := r.fetchFromHub(ctx, s, Query{Table: table, After: after}); ok {
 				return rows, version, nil
@@ -364,6 +389,9 @@
 	s := hubState{hub: r.hubAddress, announcement: a, updated: r.updated}
 	s.usable = ok && !r.isLeader() && now >= r.hubRetryAt && now-a.currentAt <= r.currentTTL(table) && a.version >= after
 	s.newer = a.version > after
+	if s.usable {
+		delete(r.fallbackAt, table)
+	}
 	s.maxWait = min(deadline, a.currentAt+r.currentTTL(table)+time.Millisecond) - now
 	if deadline <= now {
 		s.maxWait = 0
@@ -399,6 +427,7 @@
 		return nil, 0, err
 	}
 	r.recordChanges(table, after, rows, max(version, after))
+	r.delayNextFallback(table, rows)
 	return rows, version, nil
 }
 
@@ -420,6 +449,60 @@
 	return l.cutOff || r.presentRows[table] && r.now()-l.currentAt > maxHistoryGap
 }
 
+// delayFallback waits if this host should not read a table from the platform yet. It
+// returns false if there is nothing to wait for.
+func (r *Relay) delayFallback(ctx context.Context, table string, deadline time.Duration) (bool, error) {
+	if !r.slow[table] || r.isLeader() || !r.hubsInUse() {
+		return false, nil
+	}
+	hosts := r.regionHosts()
+	r.mu.Lock()
+	now, updated := r.now(), r.updated
+	at, ok := r.fallbackAt[table]
+	if !ok {
+		at = now + rand.N(fallbackPeriod(slices.Collect(maps.Values(r.log(table).rows)), hosts)+1)
+		r.fallbackAt[table] = at
+	}
+	r.mu.Unlock()
+	switch {
+	case now >= at:
+		return false, nil
+	case now >= deadline:
+		return false, &DelayedError{Table: table, Delay: at - now}
+	}
+	return true, waitForUpdate(ctx, min(at, deadline)-now, updated)
+}
+
+// fallbackPeriod returns the time in which each of the hosts of a region may read rows
+// once.
+func fallbackPeriod(rows []feed.Row, hosts int) time.Duration {
+	return time.Duration(size(rows)) * time.Duration(hosts) * time.Second / fallbackBytesPerSecond
+}
+
+// delayNextFallback delays the next read of a table from the platform after one that
+// has returned rows.
+func (r *Relay) delayNextFallback(table string, rows []feed.Row) {
+	if !r.slow[table] {
+		return
+	}
+	hosts := r.regionHosts()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fallbackAt[table] = r.now() + pause.Jitter(fallbackPeriod(rows, hosts))
+}
+
+// DelayedError says that a table is not read from the platform yet, because the other
+// hosts of the region read it too.
+type DelayedError struct {
+	Table string
+	Delay time.Duration
+}
+
+// Error names the table and the remedy.
+func (e *DelayedError) Error() string {
+	return fmt.Sprintf("no hub knows table %q, and this host reads it from the platform only in %s; retry the call", e.Table, e.Delay)
+}
+
 // fetchFromHub queries the hub for the changes that it has announced and records
 // them for queries of other hosts; false if the hub does not have all of them.
 func (r *Relay) fetchFromHub(ctx context.Context, s hubState, q Query) ([]feed.Row, uint64, bool) {
--- a/internal/server/hubs.go
+++ b/internal/server/hubs.go
@@ -159,6 +159,13 @@
 	return own.hubOrder(chosen), false
 }
 
+// regionHostCount returns the number of live hosts of this host's region.
+func (m *members) regionHostCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.currentView().rankedByRegion[m.host.settings.Region])
+}
+
 // isLeader reports whether this host follows the platform tables for the other hosts
 // of its region.
 func (m *members) isLeader() bool {
