Let a list of a store go on while data arrives

A poll now fails 0.4 s after the last data. Test: TestListCutOffWhileItProgresses failed before (deadline exceeded after 0.8 s) and passes now.

--- a/internal/kvcat/poll.go
+++ b/internal/kvcat/poll.go
@@ -14,7 +14,8 @@
 const (
 	// pollWait is the length of a long poll. With the round trip it stays well
 	// below maxStateAge, so that the state of a store without events never expires.
-	// pollMargin is the time for the round trip.
+	// pollMargin is the time for the round trip, and the longest time without data of a
+	// response.
 	pollWait   = 400 * time.Millisecond
 	pollMargin = 400 * time.Millisecond
 	// listInterval limits for how long a lost event stays unnoticed.
@@ -80,7 +81,7 @@
 // poll lists the store if this is due, and otherwise long-polls its events.
 func (p *Poller) poll(ctx context.Context) error {
 	began := wire.BootTime()
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
+	ctx, cancel := wire.WithStallTimeout(ctx, pollWait+pollMargin, pollMargin)
 	defer cancel()
 	since, ok := p.catalog.Since(p.address)
 	if !ok || began > p.nextList {
