Do not let every host list the stores at its start or when its hubs fail

A host now waits for the rows, 2 s at most, before it polls a store, and polls only the stores of its own region when no hub replies.

The progress of the host that gives orders is one row that is rewritten whole, so after a gap its present row is read, too. Slow tables are read every 2 to 5 s, so their gap counts from 8 s on.

Tests: TestStoresListedByEveryHostAtStart and TestStoresOfOtherRegionListedWithoutHubs failed before (one list each where none is allowed) and pass now; TestStoresPolledWithoutRows keeps the other side.

--- a/internal/kvcat/catalog.go
+++ b/internal/kvcat/catalog.go
@@ -225,6 +225,16 @@
 	return c.sorted()
 }
 
+// StoreZone returns the availability zone of a store; empty if there is no such store.
+func (c *Catalog) StoreZone(address string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.stores[address]; ok {
+		return s.Zone
+	}
+	return ""
+}
+
 // sorted orders the stores by address and returns their addresses.
 func (c *Catalog) sorted() []string {
 	addresses := make([]string, 0, len(c.stores))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,7 +75,8 @@
 	// queryTimeout is the longest time without data of a hub's reply.
 	queryTimeout = 600 * time.Millisecond
 	// maxHistoryGap is the time since a table was current after which a table of
-	// WithPresentRows is listed.
+	// WithPresentRows is listed. For slow tables, which are read less often, it is
+	// slowCurrentTTL.
 	maxHistoryGap = 4 * time.Second
 	// fallbackBytesPerSecond is what the hosts of a region together read of a slow
 	// table from the platform when they have lost their hubs: a seventh of a link of
@@ -446,7 +447,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(table)
-	return l.cutOff || r.presentRows[table] && r.now()-l.currentAt > maxHistoryGap
+	return l.cutOff || r.presentRows[table] && r.now()-l.currentAt > max(maxHistoryGap, r.currentTTL(table))
 }
 
 // delayFallback waits if this host should not read a table from the platform yet. It
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -142,7 +142,7 @@
 	h.members = newMembers(h)
 	h.peerClient = newPeerClient(h.pool)
 	h.tables = relay.New(p, h.queryTable, relay.WithLeader(h.members.isLeader), relay.WithHub(h.members.isHub),
-		relay.WithSlowTables(memberTable, taskTable), relay.WithPresentRows(p.OperatorTable(), memberTable),
+		relay.WithSlowTables(memberTable, taskTable), relay.WithPresentRows(p.OperatorTable(), memberTable, taskTable),
 		relay.WithRegionHosts(h.members.regionHostCount), relay.WithLog(h.log))
 	h.config.proxy = h.proxy
 	h.callers = newCallerServer(h.proxy)
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -261,6 +261,13 @@
 	m.readAt = max(m.readAt, readAt)
 }
 
+// read reports whether the rows of the hosts were read since this host started.
+func (m *members) read() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.readAt != 0
+}
+
 // pollInterval returns the time between two reads of the rows; zero stands for the
 // default.
 func (m *members) pollInterval() time.Duration {
--- a/internal/server/stores.go
+++ b/internal/server/stores.go
@@ -9,6 +9,7 @@
 
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/safego"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -17,6 +18,12 @@
 	// roleCheckInterval is the time between two checks whether this host polls the
 	// stores itself.
 	roleCheckInterval = time.Second
+	// maxRoleWait is how long a host that has just started waits for the rows of the
+	// hosts, which tell whether it polls the stores, and rowsCheckInterval the time
+	// between two checks for them. Many hosts may start at once, and all of them would
+	// list every store.
+	maxRoleWait       = 2 * time.Second
+	rowsCheckInterval = 50 * time.Millisecond
 	// hubPollInterval is the least time between two queries to a hub. Some store
 	// changes at nearly any time, so that each reply would otherwise lead to the next
 	// query at once. From manyHosts hosts on the interval is slowHubPollInterval, as
@@ -27,7 +34,8 @@
 )
 
 // storeWatcher keeps the catalog of the stores up to date. It polls the stores itself,
-// or queries hubs that do.
+// or queries hubs that do. When no hub replies it polls only the stores of its own
+// region, as all hosts of the region may do so at once.
 type storeWatcher struct {
 	host *Host
 	// fullRefreshAt is the boot time of the last reply that covered all stores.
@@ -37,8 +45,11 @@
 	ctx context.Context //nolint:containedctx // pollers start whenever the configuration changes
 	// addresses are the stores to poll.
 	addresses []string
-	// direct is set if this host polls the stores itself.
-	direct bool
+	// direct is set if this host polls the stores itself, and localOnly if it polls
+	// only those of its region.
+	direct, localOnly bool
+	// startedAt is the boot time at which Run started.
+	startedAt time.Duration
 	// running holds the cancel functions of the pollers by address.
 	running map[string]context.CancelFunc
 	group   sync.WaitGroup
@@ -48,20 +59,23 @@
 
 func newStoreWatcher(h *Host) *storeWatcher {
 	return &storeWatcher{
-		host: h, direct: true, running: map[string]context.CancelFunc{},
+		host: h, running: map[string]context.CancelFunc{},
 	}
 }
 
 // Run updates the catalog until ctx is cancelled.
 func (w *storeWatcher) Run(ctx context.Context) error {
 	w.mu.Lock()
-	w.ctx = ctx
-	w.updatePollers()
+	w.ctx, w.startedAt = ctx, wire.BootTime()
 	w.mu.Unlock()
 	for ctx.Err() == nil {
 		hubs := w.chooseHubs()
 		if len(hubs) == 0 {
-			if pause.For(ctx, roleCheckInterval) != nil {
+			interval := roleCheckInterval
+			if w.roleUnknown() {
+				interval = rowsCheckInterval
+			}
+			if pause.For(ctx, interval) != nil {
 				break
 			}
 			continue
@@ -86,10 +100,15 @@
 	hubs, self := w.host.members.storeHubAddresses()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	direct := self || len(hubs) == 0 || w.hubFailures > len(hubs)
-	if direct != w.direct {
-		w.direct = direct
-		w.host.log.Info("source of the store inventory changed", zap.Bool("direct", direct), zap.Strings("hubs", hubs), zap.Int("failed", w.hubFailures))
+	failed := w.hubFailures > len(hubs)
+	localOnly := failed && !self
+	direct := !w.roleUnknown() && (self || len(hubs) == 0 || failed)
+	if direct != w.direct || localOnly != w.localOnly {
+		w.direct, w.localOnly = direct, localOnly
+		w.host.log.Info(
+			"source of the store inventory changed", zap.Bool("direct", direct), zap.Bool("local", localOnly),
+			zap.Strings("hubs", hubs), zap.Int("failed", w.hubFailures),
+		)
 		w.updatePollers()
 	}
 	if w.hubFailures > len(hubs) {
@@ -101,6 +120,11 @@
 	return hubs
 }
 
+// roleUnknown reports whether this host does not know yet whether it polls the stores.
+func (w *storeWatcher) roleUnknown() bool {
+	return !w.host.members.read() && wire.BootTime()-w.startedAt < maxRoleWait
+}
+
 // pollHub queries one hub. After a failure the next call queries the next hub.
 func (w *storeWatcher) pollHub(ctx context.Context, hubs []string) {
 	w.mu.Lock()
@@ -127,16 +151,16 @@
 	w.updatePollers()
 }
 
-// updatePollers starts and stops pollers according to addresses and direct. The caller
-// holds mu.
+// updatePollers starts and stops pollers according to addresses, direct and localOnly.
+// The caller holds mu.
 func (w *storeWatcher) updatePollers() {
 	if w.ctx == nil || w.ctx.Err() != nil {
 		return
 	}
 	wanted := map[string]bool{}
 	for _, a := range w.addresses {
-		wanted[a] = w.direct
-		if _, ok := w.running[a]; ok || !w.direct {
+		wanted[a] = w.direct && (!w.localOnly || w.isLocal(a))
+		if _, ok := w.running[a]; ok || !wanted[a] {
 			continue
 		}
 		ctx, cancel := context.WithCancel(w.ctx)
@@ -153,3 +177,8 @@
 		}
 	}
 }
+
+// isLocal reports whether a store is in the region of this host.
+func (w *storeWatcher) isLocal(address string) bool {
+	return w.host.settings.distance(w.host.catalog.StoreZone(address)) != place.OtherRegion
+}
