--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -513,7 +513,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log(q.Table).add(q.After, a.Rows, a.Version, s.announcement.currentAt)
+	l := r.log(q.Table)
+	l.add(q.After, a.Rows, a.Version, s.announcement.currentAt)
+	l.failing = false
 	return a.Rows, a.Version, true
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -201,6 +201,22 @@
 		Expect(err).To(MatchError(errDown))
 	})
 
+	// Guards against a hub that no longer announces a table after one failed call to the
+	// platform, although it has the table from the leader.
+	It("announces a table that it has from another hub after a failed call", func() {
+		p.setDown(true)
+		_, _, err := follower.Changes(ctx, table, 1, time.Second)
+		Expect(err).To(MatchError(errDown))
+		Expect(follower.Versions()).To(BeEmpty())
+		p.setDown(false)
+		change()
+		announce()
+		_, version, err := follower.Changes(ctx, table, 1, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(2)))
+		Expect(follower.Versions()).To(HaveKeyWithValue(table, HaveField("Version", uint64(2))))
+	})
+
 	// Guards against a lost response that withholds changes from a whole region for
 	// the length of a long poll: in a fault search 32 hosts received a configuration
 	// document 5 s late.
