Give the hosts of the gossip tests addresses that no other process binds

The tests took a free port of 127.0.0.1, closed it and listened on it again, and another process had taken it meanwhile. They use an address of 127/8 that depends on the process now. No check changed.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -62,10 +62,7 @@
 			running.Wait()
 		})
 		for i := range addresses {
-			c, err := net.ListenPacket("udp", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			addresses[i] = c.LocalAddr().String()
-			Expect(c.Close()).To(Succeed())
+			addresses[i] = freeAddress()
 			fleets[i], rosters[i] = fleet.New(), &roster{}
 			fleets[i].Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
 		}
--- a/internal/gossip/hub_test.go
+++ b/internal/gossip/hub_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -92,10 +91,7 @@
 	BeforeEach(func() {
 		var running sync.WaitGroup
 		for i := range addresses {
-			c, err := net.ListenPacket("udp", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			addresses[i] = c.LocalAddr().String()
-			Expect(c.Close()).To(Succeed())
+			addresses[i] = freeAddress()
 			fleets[i], recorders[i] = fleet.New(), &recorder{desiredByHost: map[string]map[string]DesiredVersion{}}
 			trackers[i] = crash.New()
 			fleets[i].Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
