Read slow tables often enough that followers find them current

A leader read the progress of orders every 5 s and waited up to 4 s for a change, while what it announces is valid for 8 s.

relay.MaxSlowInterval is what the constants of the relay allow, 3.3 s, and the progress is read at that interval.

--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -207,8 +207,9 @@
 	hostsTable    = "hosts"
 )
 
-// startRegion starts hosts that follow the operator table and the table of hosts.
-func startRegion(t *testing.T, s feed.Source, n int) *region {
+// startRegion starts hosts that follow the operator table and the table of hosts, the
+// latter with an interval between two calls.
+func startRegion(t *testing.T, s feed.Source, n int, hostsInterval time.Duration) *region {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &region{}
@@ -230,7 +231,7 @@
 	for i, r := range g.hosts {
 		running.Go(func() { _ = feed.NewWatch(r, operatorTable, g.operators[i]).Run(ctx) })
 		running.Go(func() {
-			interval := feed.WithInterval(func() time.Duration { return 2 * time.Second })
+			interval := feed.WithInterval(func() time.Duration { return hostsInterval })
 			_ = feed.NewWatch(r, hostsTable, &follower{received: map[string]uint64{}}, interval).Run(ctx)
 		})
 	}
@@ -292,13 +293,14 @@
 // after they missed the announcements, and thereby fill the link to the platform, so
 // that a configuration arrives late or never.
 func TestConfigurationLateWhileHostsReadTable(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	first := s.put(operatorTable, "config", make([]byte, configBytes))
 	s.writeRows(ctx, allHosts, rowBytes, 2*time.Second)
-	r := startRegion(t, s, regionHosts)
+	r := startRegion(t, s, regionHosts, 2*time.Second)
 	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
 	time.Sleep(3 * time.Second)
 	r.silent.Store(true)
@@ -314,10 +316,11 @@
 // Guards against a region whose hosts each read the versions of a configuration that
 // they missed, one after the other, and start again when a read is cut off.
 func TestConfigurationLateAfterManyVersions(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
 	first := s.put(operatorTable, "config", make([]byte, configBytes))
-	r := startRegion(t, s, regionHosts)
+	r := startRegion(t, s, regionHosts, 2*time.Second)
 	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
 	time.Sleep(time.Second)
 	r.silent.Store(true)
@@ -337,10 +340,11 @@
 // Guards against a region whose hosts all list a table from the platform because the
 // platform has dropped the history of the table, or because their hub has.
 func TestTableListedByEveryHostAfterCompaction(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
 	first := s.put(operatorTable, "config", make([]byte, configBytes))
-	r := startRegion(t, s, regionHosts)
+	r := startRegion(t, s, regionHosts, 2*time.Second)
 	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
 	time.Sleep(time.Second)
 	listsBefore := s.lists.Load()
@@ -351,3 +355,19 @@
 	time.Sleep(2 * time.Second)
 	g.Expect(s.lists.Load()-listsBefore).To(gomega.BeNumerically("<=", 4), "lists read over the link")
 }
+
+// Guards against followers that all poll the platform for a slow table because their
+// leader polls it so seldom that it is no longer current.
+func TestSlowTablePolledByEveryHost(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
+	s.put(hostsTable, "host-0", make([]byte, 100))
+	first := s.put(operatorTable, "config", make([]byte, configBytes))
+	r := startRegion(t, s, regionHosts, MaxSlowInterval)
+	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	time.Sleep(time.Second)
+	before := r.hosts[regionHosts-1].ReadStats()[FromPlatform][hostsTable].Reads
+	time.Sleep(2 * slowCurrentTTL)
+	g.Expect(r.hosts[regionHosts-1].ReadStats()[FromPlatform][hostsTable].Reads).To(gomega.Equal(before))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,10 @@
 	// later.
 	slowPollWait   = 4 * time.Second
 	slowCurrentTTL = 8 * time.Second
+	// MaxSlowInterval is the longest time between two calls for a slow table: with the
+	// call it stays below slowCurrentTTL, so that followers of a leader find the table
+	// current.
+	MaxSlowInterval = slowCurrentTTL - slowPollWait - pollSlack
 	// hubRetryDelay is how long a hub is not queried after a failed query.
 	hubRetryDelay = time.Second
 	// pollSlack is added to the wait of a call to the platform before it counts as
--- a/internal/server/leased_task.go
+++ b/internal/server/leased_task.go
@@ -16,6 +16,7 @@
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/lease"
 	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/tree"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -41,7 +42,7 @@
 	contendCheckInterval = time.Second
 	// slowProgressInterval is the time between two reads of the progress where many
 	// hosts read it.
-	slowProgressInterval = 5 * time.Second
+	slowProgressInterval = relay.MaxSlowInterval
 	freeInterval         = 300 * time.Millisecond
 	// freeDelay is how long all engines must have held the newest weights before
 	// entries of older ones are freed; it exceeds the longest fetch.
