Let the time for a connection to the platform grow after dials that timed out

Each of its calls failed after 400 ms without a connection, since the queue of the full link alone took longer, and each next one started with the same limit.

Calls to targets and other hosts keep 400 ms, as there is another one to try.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -49,10 +49,24 @@
 // transport returns an *UnsentError for requests that got no connection.
 type transport struct{ base *http.Transport }
 
+// Option changes a default of NewTransport.
+type Option func(*http.Transport)
+
+// WithGrowingDialTimeout lets the time for a new connection grow after dials that have
+// timed out. It is for a server that has no replacement, such as the platform; a
+// request to one of several targets had better fail soon.
+func WithGrowingDialTimeout() Option {
+	return func(t *http.Transport) {
+		d := Dialer()
+		d.Timeout = 0 // growingDialer bounds the dial
+		t.DialContext = newGrowingDialer(d.DialContext).DialContext
+	}
+}
+
 // NewTransport returns a round tripper that never retries a request by itself.
-func NewTransport(m Mode) http.RoundTripper {
+func NewTransport(m Mode, opts ...Option) http.RoundTripper {
 	d := Dialer()
-	return &transport{base: &http.Transport{
+	base := &http.Transport{
 		DialContext:            d.DialContext,
 		DisableCompression:     true,
 		DisableKeepAlives:      m == SingleUse,
@@ -61,7 +75,11 @@
 		MaxResponseHeaderBytes: 64 << 10,
 		ReadBufferSize:         4 << 10,
 		WriteBufferSize:        4 << 10,
-	}}
+	}
+	for _, o := range opts {
+		o(base)
+	}
+	return &transport{base: base}
 }
 
 // Dialer returns a dialer whose connections detect dead peers.
