--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,18 +38,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"maps"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/feed"
-	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -78,14 +72,6 @@
 	listTimeout = 1500 * time.Millisecond
 	// queryTimeout is the longest time without data of a hub's reply.
 	queryTimeout = 600 * time.Millisecond
-	// maxHistoryGap is the time since a table was current after which a table of
-	// WithPresentRows is listed. For slow tables, which are read less often, it is
-	// slowCurrentTTL.
-	maxHistoryGap = 4 * time.Second
-	// fallbackBytesPerSecond is what the hosts of a region together read of a slow
-	// table from the platform when they have lost their hubs: a seventh of a link of
-	// 60 Mbit/s.
-	fallbackBytesPerSecond = 1 << 20
 )
 
 // TableVersion is the version of a table and how long ago it was known to be
@@ -288,263 +274,6 @@
 	return platform, hubs
 }
 
-// List returns all rows of a table. It reads them from the hub if the hub has them and
-// its announcement is recent, and from the platform otherwise.
-func (r *Relay) List(ctx context.Context, table string) ([]feed.Row, uint64, error) {
-	if s := r.hubState(table, r.version(table), r.now()); s.usable {
-		if a, ok := r.queryOnce(ctx, s, Query{Table: table, All: true}); ok {
-			r.recordAll(table, a.Rows, a.Version, s.announcement.currentAt)
-			return a.Rows, a.Version, nil
-		}
-	}
-	ctx, cancel := wire.WithStallTimeout(ctx, listTimeout, pollSlack)
-	defer cancel()
-	d := r.beginRead(FromPlatform, table, 0)
-	rows, version, err := r.platform.List(ctx, table)
-	r.endRead(d, rows, err)
-	if err != nil {
-		r.recordFailure(table, false)
-		return nil, 0, err
-	}
-	r.recordAll(table, rows, version, d.startedAt)
-	r.delayNextFallback(table, rows)
-	return rows, version, nil
-}
-
-// version returns the version of a table up to which this host has the changes.
-func (r *Relay) version(table string) uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.log(table).version
-}
-
-// recordAll records all rows of a table for queries of other hosts.
-func (r *Relay) recordAll(table string, rows []feed.Row, version uint64, currentAt time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if l := r.log(table); version >= l.version {
-		l.setAll(rows, version, currentAt)
-	}
-}
-
-// recordFailure records that a table could not be read. cutOff says that data had been
-// received.
-func (r *Relay) recordFailure(table string, cutOff bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.log(table)
-	l.failing = true
-	l.cutOff = l.cutOff || cutOff
-}
-
-// Changes returns the changes of a table after a version and waits if there are
-// none yet. It reads them from the hub while the hub's announcements are recent, and
-// from the platform otherwise. It returns a *feed.HistoryExpiredError if the present
-// rows are to be read in place of the changes.
-func (r *Relay) Changes(
-	ctx context.Context, table string, after uint64, wait time.Duration,
-) ([]feed.Row, uint64, error) {
-	deadline := r.now() + wait
-	for {
-		s := r.hubState(table, after, deadline)
-		switch {
-		case !s.usable:
-			delayed, err := r.delayFallback(ctx, table, deadline)
-			if err != nil {
-				return nil, 0, err
-			}
-			if !delayed {
-				return r.pollPlatform(ctx, table, after, deadline-r.now())
-			}
-		case s.newer:
-			if rows, version, ok := r.fetchFromHub(ctx, s, Query{Table: table, After: after}); ok {
-				return rows, version, nil
-			}
-			r.delayHubQueries()
-		case s.maxWait <= 0:
-			return nil, after, nil
-		default:
-			if err := waitForUpdate(ctx, s.maxWait, s.updated); err != nil {
-				return nil, 0, err
-			}
-		}
-	}
-}
-
-// hubState is what a hub's last announcement means for a call that waits for changes
-// of a table.
-type hubState struct {
-	hub string
-	announcement
-	// usable says that the announcement is recent and not behind the caller. newer
-	// says that the hub has changes for the caller.
-	usable, newer bool
-	// maxWait is how long the state stays the same unless updated is closed.
-	maxWait time.Duration
-	updated <-chan struct{}
-}
-
-// hubState evaluates the hub's last announcement for a call that waits for changes
-// after a version until a deadline.
-func (r *Relay) hubState(table string, after uint64, deadline time.Duration) hubState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	a, ok := r.announced[table]
-	s := hubState{hub: r.hubAddress, announcement: a, updated: r.updated}
-	s.usable = ok && !r.isLeader() && now >= r.hubRetryAt && now-a.currentAt <= r.currentTTL(table) && a.version >= after
-	s.newer = a.version > after
-	if s.usable {
-		delete(r.fallbackAt, table)
-	}
-	s.maxWait = min(deadline, a.currentAt+r.currentTTL(table)+time.Millisecond) - now
-	if deadline <= now {
-		s.maxWait = 0
-	}
-	return s
-}
-
-// pollPlatform reads the changes from the platform and records them for queries of
-// other hosts.
-func (r *Relay) pollPlatform(
-	ctx context.Context, table string, after uint64, wait time.Duration,
-) ([]feed.Row, uint64, error) {
-	if r.hubsInUse() {
-		wait = min(wait, r.pollWait(table))
-	}
-	wait = max(wait, 0)
-	if r.needsPresentRows(table) {
-		return nil, 0, &feed.HistoryExpiredError{Table: table, After: after}
-	}
-	ctx, cancel := wire.WithStallTimeout(ctx, wait+pollSlack, pollSlack)
-	defer cancel()
-	d := r.beginRead(FromPlatform, table, after)
-	rows, version, err := r.platform.Changes(ctx, table, after, wait)
-	r.endRead(d, rows, err)
-	var expired *feed.HistoryExpiredError
-	switch {
-	case errors.As(err, &expired):
-		// The platform has answered, so the hub that this host may be can go on
-		// announcing the table until it has listed it.
-		return nil, 0, err
-	case err != nil:
-		r.recordFailure(table, wire.Progressed(ctx))
-		return nil, 0, err
-	}
-	r.recordChanges(table, after, rows, max(version, after))
-	r.delayNextFallback(table, rows)
-	return rows, version, nil
-}
-
-// recordChanges records changes that were read from the platform.
-func (r *Relay) recordChanges(table string, after uint64, rows []feed.Row, version uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.log(table)
-	l.add(after, rows, version, r.now())
-	l.failing, l.cutOff = false, false
-}
-
-// needsPresentRows reports whether the present rows of a table are to be read in place
-// of its history.
-func (r *Relay) needsPresentRows(table string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.log(table)
-	return l.cutOff || r.presentRows[table] && r.now()-l.currentAt > max(maxHistoryGap, r.currentTTL(table))
-}
-
-// delayFallback waits if this host should not read a table from the platform yet. It
-// returns false if there is nothing to wait for.
-func (r *Relay) delayFallback(ctx context.Context, table string, deadline time.Duration) (bool, error) {
-	if !r.slow[table] || r.isLeader() || !r.hubsInUse() {
-		return false, nil
-	}
-	hosts := r.regionHosts()
-	r.mu.Lock()
-	now, updated := r.now(), r.updated
-	at, ok := r.fallbackAt[table]
-	if !ok {
-		at = now + rand.N(fallbackPeriod(slices.Collect(maps.Values(r.log(table).rows)), hosts)+1)
-		r.fallbackAt[table] = at
-	}
-	r.mu.Unlock()
-	switch {
-	case now >= at:
-		return false, nil
-	case now >= deadline:
-		return false, &DelayedError{Table: table, Delay: at - now}
-	}
-	return true, waitForUpdate(ctx, min(at, deadline)-now, updated)
-}
-
-// fallbackPeriod returns the time in which each of the hosts of a region may read rows
-// once.
-func fallbackPeriod(rows []feed.Row, hosts int) time.Duration {
-	return time.Duration(size(rows)) * time.Duration(hosts) * time.Second / fallbackBytesPerSecond
-}
-
-// delayNextFallback delays the next read of a table from the platform after one that
-// has returned rows.
-func (r *Relay) delayNextFallback(table string, rows []feed.Row) {
-	if !r.slow[table] {
-		return
-	}
-	hosts := r.regionHosts()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fallbackAt[table] = r.now() + pause.Jitter(fallbackPeriod(rows, hosts))
-}
-
-// DelayedError says that a table is not read from the platform yet, because the other
-// hosts of the region read it too.
-type DelayedError struct {
-	Table string
-	Delay time.Duration
-}
-
-// Error names the table and the remedy.
-func (e *DelayedError) Error() string {
-	return fmt.Sprintf("no hub knows table %q, and this host reads it from the platform only in %s; retry the call", e.Table, e.Delay)
-}
-
-// fetchFromHub queries the hub for the changes that it has announced and records
-// them for queries of other hosts; false if the hub does not have all of them.
-func (r *Relay) fetchFromHub(ctx context.Context, s hubState, q Query) ([]feed.Row, uint64, bool) {
-	a, ok := r.queryOnce(ctx, s, q)
-	if !ok || a.Version < q.After {
-		return nil, 0, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.log(q.Table)
-	l.add(q.After, a.Rows, a.Version, s.announcement.currentAt)
-	l.failing = false
-	return a.Rows, a.Version, true
-}
-
-// queryOnce sends a query to the hub; false if the hub does not have what it asks for.
-func (r *Relay) queryOnce(ctx context.Context, s hubState, q Query) (Reply, bool) {
-	ctx, cancel := wire.WithStallTimeout(ctx, queryTimeout, queryTimeout)
-	defer cancel()
-	d := r.beginRead(FromHub, q.Table, q.After)
-	a, err := r.queryHub(ctx, s.hub, q)
-	r.endRead(d, a.Rows, err)
-	return a, err == nil && !a.Incomplete && a.Version != 0
-}
-
-// hubsInUse reports whether there are hubs: this host is one, or has received an
-// announcement of one. A host that has lost its hub then polls the platform as often
-// as the hubs do.
-func (r *Relay) hubsInUse() bool {
-	if r.isHub() {
-		return true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.hubAddress != ""
-}
-
 func (r *Relay) currentTTL(table string) time.Duration {
 	if r.slow[table] {
 		return slowCurrentTTL
@@ -559,13 +288,6 @@
 	return pollWait
 }
 
-// delayHubQueries delays the next query to the hub after a failed one.
-func (r *Relay) delayHubQueries() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.hubRetryAt = r.now() + hubRetryDelay
-}
-
 // log returns the change log of a table. The caller holds mu.
 func (r *Relay) log(table string) *changeLog {
 	l, ok := r.logs[table]
@@ -575,16 +297,3 @@
 	}
 	return l
 }
-
-// waitForUpdate waits until updated is closed, but not longer than d.
-func waitForUpdate(ctx context.Context, d time.Duration, updated <-chan struct{}) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-updated:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/relay/source.go
@@ -0,0 +1,224 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+// List returns all rows of a table. It reads them from the hub if the hub has them and
+// its announcement is recent, and from the platform otherwise.
+func (r *Relay) List(ctx context.Context, table string) ([]feed.Row, uint64, error) {
+	if s := r.hubState(table, r.version(table), r.now()); s.usable {
+		if a, ok := r.queryOnce(ctx, s, Query{Table: table, All: true}); ok {
+			r.recordAll(table, a.Rows, a.Version, s.announcement.currentAt)
+			return a.Rows, a.Version, nil
+		}
+	}
+	ctx, cancel := wire.WithStallTimeout(ctx, listTimeout, pollSlack)
+	defer cancel()
+	d := r.beginRead(FromPlatform, table, 0)
+	rows, version, err := r.platform.List(ctx, table)
+	r.endRead(d, rows, err)
+	if err != nil {
+		r.recordFailure(table, false)
+		return nil, 0, err
+	}
+	r.recordAll(table, rows, version, d.startedAt)
+	r.delayNextFallback(table, rows)
+	return rows, version, nil
+}
+
+// version returns the version of a table up to which this host has the changes.
+func (r *Relay) version(table string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log(table).version
+}
+
+// recordAll records all rows of a table for queries of other hosts.
+func (r *Relay) recordAll(table string, rows []feed.Row, version uint64, currentAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.log(table); version >= l.version {
+		l.setAll(rows, version, currentAt)
+	}
+}
+
+// recordFailure records that a table could not be read. cutOff says that data had been
+// received.
+func (r *Relay) recordFailure(table string, cutOff bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.log(table)
+	l.failing = true
+	l.cutOff = l.cutOff || cutOff
+}
+
+// Changes returns the changes of a table after a version and waits if there are
+// none yet. It reads them from the hub while the hub's announcements are recent, and
+// from the platform otherwise. It returns a *feed.HistoryExpiredError if the present
+// rows are to be read in place of the changes.
+func (r *Relay) Changes(
+	ctx context.Context, table string, after uint64, wait time.Duration,
+) ([]feed.Row, uint64, error) {
+	deadline := r.now() + wait
+	for {
+		s := r.hubState(table, after, deadline)
+		switch {
+		case !s.usable:
+			delayed, err := r.delayFallback(ctx, table, deadline)
+			if err != nil {
+				return nil, 0, err
+			}
+			if !delayed {
+				return r.pollPlatform(ctx, table, after, deadline-r.now())
+			}
+		case s.newer:
+			if rows, version, ok := r.fetchFromHub(ctx, s, Query{Table: table, After: after}); ok {
+				return rows, version, nil
+			}
+			r.delayHubQueries()
+		case s.maxWait <= 0:
+			return nil, after, nil
+		default:
+			if err := waitForUpdate(ctx, s.maxWait, s.updated); err != nil {
+				return nil, 0, err
+			}
+		}
+	}
+}
+
+// hubState is what a hub's last announcement means for a call that waits for changes
+// of a table.
+type hubState struct {
+	hub string
+	announcement
+	// usable says that the announcement is recent and not behind the caller. newer
+	// says that the hub has changes for the caller.
+	usable, newer bool
+	// maxWait is how long the state stays the same unless updated is closed.
+	maxWait time.Duration
+	updated <-chan struct{}
+}
+
+// hubState evaluates the hub's last announcement for a call that waits for changes
+// after a version until a deadline.
+func (r *Relay) hubState(table string, after uint64, deadline time.Duration) hubState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	a, ok := r.announced[table]
+	s := hubState{hub: r.hubAddress, announcement: a, updated: r.updated}
+	s.usable = ok && !r.isLeader() && now >= r.hubRetryAt && now-a.currentAt <= r.currentTTL(table) && a.version >= after
+	s.newer = a.version > after
+	if s.usable {
+		delete(r.fallbackAt, table)
+	}
+	s.maxWait = min(deadline, a.currentAt+r.currentTTL(table)+time.Millisecond) - now
+	if deadline <= now {
+		s.maxWait = 0
+	}
+	return s
+}
+
+// pollPlatform reads the changes from the platform and records them for queries of
+// other hosts.
+func (r *Relay) pollPlatform(
+	ctx context.Context, table string, after uint64, wait time.Duration,
+) ([]feed.Row, uint64, error) {
+	if r.hubsInUse() {
+		wait = min(wait, r.pollWait(table))
+	}
+	wait = max(wait, 0)
+	if r.needsPresentRows(table) {
+		return nil, 0, &feed.HistoryExpiredError{Table: table, After: after}
+	}
+	ctx, cancel := wire.WithStallTimeout(ctx, wait+pollSlack, pollSlack)
+	defer cancel()
+	d := r.beginRead(FromPlatform, table, after)
+	rows, version, err := r.platform.Changes(ctx, table, after, wait)
+	r.endRead(d, rows, err)
+	var expired *feed.HistoryExpiredError
+	switch {
+	case errors.As(err, &expired):
+		// The platform has answered, so the hub that this host may be can go on
+		// announcing the table until it has listed it.
+		return nil, 0, err
+	case err != nil:
+		r.recordFailure(table, wire.Progressed(ctx))
+		return nil, 0, err
+	}
+	r.recordChanges(table, after, rows, max(version, after))
+	r.delayNextFallback(table, rows)
+	return rows, version, nil
+}
+
+// recordChanges records changes that were read from the platform.
+func (r *Relay) recordChanges(table string, after uint64, rows []feed.Row, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.log(table)
+	l.add(after, rows, version, r.now())
+	l.failing, l.cutOff = false, false
+}
+
+// fetchFromHub queries the hub for the changes that it has announced and records
+// them for queries of other hosts; false if the hub does not have all of them.
+func (r *Relay) fetchFromHub(ctx context.Context, s hubState, q Query) ([]feed.Row, uint64, bool) {
+	a, ok := r.queryOnce(ctx, s, q)
+	if !ok || a.Version < q.After {
+		return nil, 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.log(q.Table)
+	l.add(q.After, a.Rows, a.Version, s.announcement.currentAt)
+	l.failing = false
+	return a.Rows, a.Version, true
+}
+
+// queryOnce sends a query to the hub; false if the hub does not have what it asks for.
+func (r *Relay) queryOnce(ctx context.Context, s hubState, q Query) (Reply, bool) {
+	ctx, cancel := wire.WithStallTimeout(ctx, queryTimeout, queryTimeout)
+	defer cancel()
+	d := r.beginRead(FromHub, q.Table, q.After)
+	a, err := r.queryHub(ctx, s.hub, q)
+	r.endRead(d, a.Rows, err)
+	return a, err == nil && !a.Incomplete && a.Version != 0
+}
+
+// hubsInUse reports whether there are hubs: this host is one, or has received an
+// announcement of one. A host that has lost its hub then polls the platform as often
+// as the hubs do.
+func (r *Relay) hubsInUse() bool {
+	if r.isHub() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hubAddress != ""
+}
+
+// delayHubQueries delays the next query to the hub after a failed one.
+func (r *Relay) delayHubQueries() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hubRetryAt = r.now() + hubRetryDelay
+}
+
+// waitForUpdate waits until updated is closed, but not longer than d.
+func waitForUpdate(ctx context.Context, d time.Duration, updated <-chan struct{}) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-updated:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
