--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -289,22 +289,32 @@
 	configLimit = 4 * time.Second
 )
 
+// newRegion starts a region behind a link whose hosts have the first configuration.
+// Before it starts them it writes what prepare writes.
+func newRegion(t *testing.T, hostsInterval time.Duration, prepare func(s *historyStore)) (*gomega.WithT, *remoteStore, *region) {
+	t.Helper()
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
+	prepare(s.historyStore)
+	first := s.put(operatorTable, "config", make([]byte, configBytes))
+	r := startRegion(t, s, regionHosts, hostsInterval)
+	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	return g, s, r
+}
+
 // Guards against a region whose hosts all read the table of hosts from the platform
 // after they missed the announcements, and thereby fill the link to the platform, so
 // that a configuration arrives late or never.
 func TestConfigurationLateWhileHostsReadTable(t *testing.T) {
-	t.Parallel()
-	g := gomega.NewWithT(t)
-	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for i := range allHosts {
-		s.put(hostsTable, fmt.Sprint("host-", i), make([]byte, rowBytes))
-	}
-	first := s.put(operatorTable, "config", make([]byte, configBytes))
-	s.writeRows(ctx, allHosts, rowBytes, 2*time.Second)
-	r := startRegion(t, s, regionHosts, 2*time.Second)
-	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	g, s, r := newRegion(t, 2*time.Second, func(s *historyStore) {
+		for i := range allHosts {
+			s.put(hostsTable, fmt.Sprint("host-", i), make([]byte, rowBytes))
+		}
+		s.writeRows(ctx, allHosts, rowBytes, 2*time.Second)
+	})
 	time.Sleep(3 * time.Second)
 	r.silent.Store(true)
 	time.Sleep(slowCurrentTTL + 1500*time.Millisecond)
@@ -319,12 +329,7 @@
 // Guards against a region whose hosts each read the versions of a configuration that
 // they missed, one after the other, and start again when a read is cut off.
 func TestConfigurationLateAfterManyVersions(t *testing.T) {
-	t.Parallel()
-	g := gomega.NewWithT(t)
-	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
-	first := s.put(operatorTable, "config", make([]byte, configBytes))
-	r := startRegion(t, s, regionHosts, 2*time.Second)
-	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	g, s, r := newRegion(t, 2*time.Second, func(*historyStore) {})
 	time.Sleep(time.Second)
 	r.silent.Store(true)
 	s.link.closed.Store(true)
@@ -345,12 +350,7 @@
 // Guards against a region whose hosts all list a table from the platform because the
 // platform has dropped the history of the table, or because their hub has.
 func TestTableListedByEveryHostAfterCompaction(t *testing.T) {
-	t.Parallel()
-	g := gomega.NewWithT(t)
-	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
-	first := s.put(operatorTable, "config", make([]byte, configBytes))
-	r := startRegion(t, s, regionHosts, 2*time.Second)
-	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	g, s, r := newRegion(t, 2*time.Second, func(*historyStore) {})
 	time.Sleep(time.Second)
 	listsBefore := s.lists.Load()
 	s.put(operatorTable, "version", make([]byte, 100))
@@ -364,13 +364,7 @@
 // Guards against followers that all poll the platform for a slow table because their
 // leader polls it so seldom that it is no longer current.
 func TestSlowTablePolledByEveryHost(t *testing.T) {
-	t.Parallel()
-	g := gomega.NewWithT(t)
-	s := &remoteStore{historyStore: newHistoryStore(), link: &link{}}
-	s.put(hostsTable, "host-0", make([]byte, 100))
-	first := s.put(operatorTable, "config", make([]byte, configBytes))
-	r := startRegion(t, s, regionHosts, MaxSlowInterval)
-	g.Eventually(func() int { return r.receivedBy("config", first) }, "10s", "20ms").Should(gomega.Equal(regionHosts))
+	g, _, r := newRegion(t, MaxSlowInterval, func(s *historyStore) { s.put(hostsTable, "host-0", make([]byte, 100)) })
 	time.Sleep(time.Second)
 	before := r.hosts[regionHosts-1].ReadStats()[FromPlatform][hostsTable].Reads
 	time.Sleep(2 * slowCurrentTTL)
