Return to the hub after a fallback

So a loss of announcements for 2 s made all hosts of a region poll the platform for good, over the link between the regions, long after the hubs were back.

A host whose own last read is still valid (1.9 s, slow tables 8 s) now waits for a hub that announces the table to have caught up. A change still reaches it by the hub at once, and a hub that announces nothing still counts for 1.9 s at most.

--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -370,3 +370,25 @@
 	time.Sleep(2 * slowCurrentTTL)
 	g.Expect(r.hosts[regionHosts-1].ReadStats()[FromPlatform][hostsTable].Reads).To(gomega.Equal(before))
 }
+
+// Guards against hosts that go on polling the platform after they have a hub again,
+// because their own version is always a little newer than that of the hub.
+func TestFallbackOutlastsLossOfHub(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, _, r := newRegion(t, 2*time.Second, func(s *historyStore) { s.writeRows(ctx, allHosts, 100, 2*time.Second) })
+	time.Sleep(time.Second)
+	r.silent.Store(true)
+	time.Sleep(3 * time.Second)
+	r.silent.Store(false)
+	time.Sleep(3 * time.Second)
+	reads := func() (n uint64) {
+		for _, h := range r.hosts[2:] {
+			n += h.ReadStats()[FromPlatform][operatorTable].Reads
+		}
+		return n
+	}
+	before := reads()
+	time.Sleep(5 * time.Second)
+	g.Expect(reads()-before).To(gomega.BeNumerically("<=", 2), "reads of the platform by followers")
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -94,6 +94,12 @@
 	for {
 		s := r.hubState(table, after, deadline)
 		switch {
+		case s.catchingUp && s.maxWait > 0:
+			if err := waitForUpdate(ctx, s.maxWait, s.updated); err != nil {
+				return nil, 0, err
+			}
+		case s.catchingUp:
+			return nil, after, nil
 		case !s.usable:
 			delayed, err := r.delayFallback(ctx, table, deadline)
 			if err != nil {
@@ -125,6 +131,10 @@
 	// usable says that the announcement is recent and not behind the caller. newer
 	// says that the hub has changes for the caller.
 	usable, newer bool
+	// catchingUp says that the announcement is recent, but older than the caller's last
+	// read, which is recent as well. A hub learns the version of a table with each of its
+	// calls, so it will have that of the caller soon.
+	catchingUp bool
 	// maxWait is how long the state stays the same unless updated is closed.
 	maxWait time.Duration
 	updated <-chan struct{}
@@ -135,15 +145,21 @@
 func (r *Relay) hubState(table string, after uint64, deadline time.Duration) hubState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	now, l, ttl := r.now(), r.log(table), r.currentTTL(table)
 	a, ok := r.announced[table]
 	s := hubState{hub: r.hubAddress, announcement: a, updated: r.updated}
-	s.usable = ok && !r.isLeader() && now >= r.hubRetryAt && now-a.currentAt <= r.currentTTL(table) && a.version >= after
+	recent := ok && !r.isLeader() && now >= r.hubRetryAt && now-a.currentAt <= ttl
+	s.usable = recent && a.version >= after
 	s.newer = a.version > after
+	s.catchingUp = recent && !s.usable && !l.failing && l.version >= after && now-l.currentAt <= ttl
 	if s.usable {
 		delete(r.fallbackAt, table)
 	}
-	s.maxWait = min(deadline, a.currentAt+r.currentTTL(table)+time.Millisecond) - now
+	validUntil := a.currentAt + ttl
+	if s.catchingUp {
+		validUntil = min(validUntil, l.currentAt+ttl)
+	}
+	s.maxWait = min(deadline, validUntil+time.Millisecond) - now
 	if deadline <= now {
 		s.maxWait = 0
 	}
