--- a/internal/gossip/crashes.go
+++ b/internal/gossip/crashes.go
@@ -59,14 +59,11 @@
 	}
 	b.validUntil = now + crashInterval
 	b.records = e.crashes.Export(maxCrashRecords, time.Now())
-	switch {
-	case slices.ContainsFunc(b.records, isRecent):
-		b.rotateAt = now + rotationInterval
-	case now >= b.rotateAt:
-		b.rotateAt = now + rotationInterval
-	default:
+	if now < b.rotateAt && !slices.ContainsFunc(b.records, isRecent) {
 		b.records = nil
+		return nil
 	}
+	b.rotateAt = now + rotationInterval
 	return b.records
 }
 
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -94,13 +94,7 @@
 	for {
 		s := r.hubState(table, after, deadline)
 		switch {
-		case s.catchingUp && s.maxWait > 0:
-			if err := waitForUpdate(ctx, s.maxWait, s.updated); err != nil {
-				return nil, 0, err
-			}
-		case s.catchingUp:
-			return nil, after, nil
-		case !s.usable:
+		case !s.usable && !s.catchingUp:
 			delayed, err := r.delayFallback(ctx, table, deadline)
 			if err != nil {
 				return nil, 0, err
