Log the shared parts and the events of requests in flight at a crash

The lines of a crash name the request and the target only, so that a cause in a part of the prompt cannot be told from one in the whole request or in the engine. Adds the IDs of the shared parts, the duration of the attempt and the time since its first event. No change of logic.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -77,7 +77,11 @@
 	c.attempt.End(outcome)
 	defer p.DispatchSoon()
 	if verdict := p.crashes.End(id, crashResult(outcome, crashed), time.Now()); verdict != crash.Cleared {
-		j.log.Info("target crashed during the attempt", zap.String("target", c.ID), zap.Bool("quarantined", verdict == crash.Quarantined))
+		j.log.Info(
+			"target crashed during the attempt", zap.String("target", c.ID), zap.Bool("quarantined", verdict == crash.Quarantined),
+			zap.Strings("parts", sharedPartIDs(j.Prompt)), zap.Int64("run", (wire.BootTime()-sent).Milliseconds()),
+			zap.Int64("events", j.eventsSince(sent).Milliseconds()),
+		)
 	}
 	p.Metrics.Observe("attempt", wire.BootTime()-sent)
 	if r, ok := result.(retryable); ok {
@@ -91,6 +95,15 @@
 	return result
 }
 
+// eventsSince returns the time since the first event of the attempt that started at a
+// boot time; zero if the target has sent none.
+func (j *job) eventsSince(started time.Duration) time.Duration {
+	if first := time.Duration(j.firstEventAt.Load()); first >= started {
+		return wire.BootTime() - first
+	}
+	return 0
+}
+
 // crashResult translates the result of an attempt for the tracker of requests that
 // crash their targets.
 func crashResult(o fleet.Outcome, crashed bool) crash.Result {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -120,6 +120,19 @@
 	return w
 }
 
+// sharedPartIDs returns the IDs of the parts of a prompt that other requests may have
+// in common; none without a prompt.
+func sharedPartIDs(p *Prompt) []string {
+	if p == nil {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Shared() {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // logPlacement logs what the placement knew about the chosen target.
 func (p *Proxy) logPlacement(j *job, c reservation, k place.Candidate, candidates int) {
 	if !p.log.Core().Enabled(zap.InfoLevel) {
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -74,8 +74,9 @@
 	// waitingSince is the boot time at which the request was last queued; zero
 	// before that.
 	waitingSince time.Duration
-	// lastEventAt is the boot time of the last event of the current attempt.
-	lastEventAt atomic.Int64
+	// firstEventAt and lastEventAt are the boot times of the first and of the last event
+	// of the current attempt.
+	firstEventAt, lastEventAt atomic.Int64
 }
 
 // ServeHTTP forwards a caller's request to a target and relays the response.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -46,6 +46,7 @@
 			j.lastEventAt.Store(int64(wire.BootTime()))
 			if awaitingFirst {
 				awaitingFirst = false
+				j.firstEventAt.Store(int64(wire.BootTime()))
 				j.firstEventAfter = wire.BootTime() - j.Arrived
 				p.Metrics.Observe("first event", j.firstEventAfter)
 				if c.plan != nil {
