Attribute crashes to parts of prompts, and quarantine a part that causes them

Callers saw a kind of requests unserved while engines crashed one after the other: requests that differ in their bodies and share one part of their prompts crash each engine that begins to answer them.

Cause: a failure attributed to an identity that the sender can vary (account, method, path and body), and to all that ran beside it.

A crash now also counts for the shared parts of requests whose target had not begun to answer. Any answer clears a part; three crashes without one quarantine it, five if targets answered it before; crashes within 250 ms count once; what a quarantined part explains does not count for requests beside it. While a part is suspected one request at a time tries it. Attempts that wait at a target are cancelled when a part of them is quarantined, and an attempt that was never sent is refused (503), where it got a 502 before. Records of parts travel in the messages that exist, those with most evidence first, and are built only for those that are sent.

Ruled out: a longer list of fingerprints or faster exchange, as no two requests are equal.

--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -145,10 +145,13 @@
 				ID:       rapid.Uint64Range(1, 4).Draw(t, "id"),
 				At:       start.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "at")) * time.Second),
 				Forgiven: rapid.Bool().Draw(t, "forgiven"),
+				Late:     rapid.Bool().Draw(t, "late"),
 			}}})
 		}
 		id := rapid.Uint64Range(0, 3).Draw(t, "trial")
 		// The time of a trial is equal on all hosts except for the rounding of ages.
+		e.Depth = rapid.IntRange(0, 2).Draw(t, "depth")
+		e.Survived = start.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "survived")) * time.Second)
 		e.Trial = Trial{ID: id, At: start.Add(time.Duration(id/2) * time.Second), Ended: rapid.Bool().Draw(t, "ended")}
 		return e
 	})
--- /dev/null
+++ b/internal/crash/parts.go
@@ -0,0 +1,118 @@
+package crash
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxParts is the number of parts of a prompt that count as possible causes of a
+	// crash, from its beginning.
+	MaxParts = 16
+	// partCrashes is the number of crashes that quarantine a part that no target is known
+	// to have survived, and knownPartCrashes the same for other parts.
+	partCrashes      = 3
+	knownPartCrashes = 5
+	// crashSpacing is the least time between two crashes that count for a part. Targets
+	// that are lost together, such as those of a rack, thereby count once.
+	crashSpacing = 250 * time.Millisecond
+	// partQuarantine is how long a part is quarantined after its last crash. Afterwards
+	// one trial decides; until partRetention its crash is enough for another quarantine.
+	partQuarantine = 10 * time.Minute
+	partRetention  = 20 * time.Minute
+	// trialDelaySpread is the time over which hosts spread the start of the trial after a
+	// quarantine. It has to exceed the number of hosts times the time in which a record
+	// reaches them, so that one host starts a trial and the others learn of it.
+	trialDelaySpread = 5 * time.Minute
+	// partTrialTimeout is the time after which a trial of a part without a result allows
+	// another one.
+	partTrialTimeout = 5 * time.Second
+	// maxQuarantinedParts is the number of parts that can be quarantined at once. If
+	// more seem to crash targets, something else does.
+	maxQuarantinedParts = 8
+)
+
+// verdicts are the parts that may not run, or only one request at a time.
+type verdicts struct {
+	quarantined map[Fingerprint]time.Time // by part, the time of its last crash
+	suspected   map[Fingerprint]bool
+}
+
+// judge finds the parts that cause crashes. A part is quarantined if it was in a request
+// that was about to start at each of several crashes, and no target has survived it
+// since the first of them. Crashes that a quarantined part explains do not count for
+// other parts: those were in flight beside it.
+func judge(parts map[Fingerprint]History, now time.Time) verdicts {
+	v := verdicts{quarantined: map[Fingerprint]time.Time{}, suspected: map[Fingerprint]bool{}}
+	var explained []Crash
+	for len(v.quarantined) < maxQuarantinedParts {
+		p, ok := strongest(parts, v, explained, now)
+		if !ok {
+			break
+		}
+		_, v.quarantined[p] = parts[p].partCrashes(explained, now)
+		explained = append(explained, parts[p].Crashes...)
+	}
+	for p, h := range parts {
+		if _, ok := v.quarantined[p]; ok || !h.Survived.IsZero() {
+			continue
+		}
+		if n, _ := h.partCrashes(explained, now); n > 0 {
+			v.suspected[p] = true
+		}
+	}
+	return v
+}
+
+// strongest returns the part with the most evidence among those with enough of it.
+// Parts that no target is known to have survived go first, then those with more
+// crashes, then those deeper in the prompt, which fewer requests share.
+func strongest(parts map[Fingerprint]History, v verdicts, explained []Crash, now time.Time) (Fingerprint, bool) {
+	var best Fingerprint
+	bestCrashes, found := 0, false
+	for p, h := range parts {
+		n, _ := h.partCrashes(explained, now)
+		if _, done := v.quarantined[p]; done || n < h.quarantineAt() {
+			continue
+		}
+		b := parts[best]
+		rank := cmp.Or(
+			cmp.Compare(h.quarantineAt(), b.quarantineAt()), cmp.Compare(bestCrashes, n),
+			cmp.Compare(b.Depth, h.Depth), bytes.Compare(p[:], best[:]),
+		)
+		if !found || rank < 0 {
+			best, bestCrashes, found = p, n, true
+		}
+	}
+	return best, found
+}
+
+// quarantineAt returns the number of crashes that quarantine the part.
+func (h History) quarantineAt() int {
+	if h.Survived.IsZero() {
+		return partCrashes
+	}
+	return knownPartCrashes
+}
+
+// partCrashes returns the number of crashes that count for a part, and the time of the
+// last of them: those since a target has survived it that no other part explains.
+func (h History) partCrashes(explained []Crash, now time.Time) (n int, last time.Time) {
+	var at []time.Time
+	for _, c := range h.Crashes {
+		counts := c.At.After(h.Survived) && now.Sub(c.At) < partRetention
+		if counts && !h.isDuplicate(c) && !slices.ContainsFunc(explained, c.isSameCrash) {
+			at = append(at, c.At)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	for _, t := range at {
+		if n == 0 || t.Sub(last) >= crashSpacing {
+			n++
+			last = t
+		}
+	}
+	return n, last
+}
--- /dev/null
+++ b/internal/crash/suspect.go
@@ -0,0 +1,170 @@
+package crash
+
+import (
+	"slices"
+	"time"
+)
+
+// limitParts returns the parts that count as possible causes.
+func limitParts(parts []Fingerprint) []Fingerprint { return parts[:min(len(parts), MaxParts)] }
+
+// decideParts decides from the verdicts on the parts of a request. The caller holds mu.
+func (t *Tracker) decideParts(parts []Fingerprint, now time.Time) Decision {
+	if len(t.parts) == 0 {
+		return Run{}
+	}
+	t.judge(now)
+	var d Decision = Run{}
+	for _, p := range limitParts(parts) {
+		last, quarantined := t.verdicts.quarantined[p]
+		switch end := last.Add(partQuarantine + t.trialDelay); {
+		case quarantined && now.Before(end):
+			return Refuse{
+				Reason: "targets crashed while running requests with one part of this prompt", RetryAfter: max(t.spread, end.Sub(now)), Part: true,
+			}
+		case !quarantined && !t.verdicts.suspected[p]:
+		case t.parts[p].trialRunning(now, partTrialTimeout):
+			d = Wait{}
+		case d == Decision(Run{}):
+			d = Isolate{}
+		}
+	}
+	return d
+}
+
+// startPartTrials records an attempt as the trial of those of its parts that need one.
+func (t *Tracker) startPartTrials(parts []Fingerprint, attempt, target string, now time.Time) {
+	for _, p := range limitParts(parts) {
+		_, quarantined := t.verdicts.quarantined[p]
+		if !quarantined && !t.verdicts.suspected[p] {
+			continue
+		}
+		h := t.parts[p]
+		h.Trial = Trial{ID: attemptID(attempt, target), Target: target, At: now}
+		t.parts[p] = h
+		t.recordOwnChange(p, now)
+	}
+}
+
+// endParts records the result of an attempt for the parts of its prompt.
+func (t *Tracker) endParts(f inFlightAttempt, attempt string, r Result, now time.Time) {
+	id := attemptID(attempt, f.target)
+	for i, p := range f.parts {
+		h, known := t.parts[p]
+		trial := known && h.Trial.ID == id
+		if trial {
+			h.Trial.Ended = true
+		}
+		crashed := r == Crashed && !f.answered
+		if crashed {
+			h = t.withCrash(p, h, i+1, Crash{ID: id, At: now})
+		}
+		if trial || crashed {
+			t.storePart(p, h, now)
+			t.recordOwnChange(p, now)
+		}
+	}
+	if r == Survived && !f.answered {
+		t.recordSurvival(f.parts, now)
+	}
+	t.cancelQuarantined(now)
+}
+
+// withCrash adds a crash to the history of a part.
+func (t *Tracker) withCrash(p Fingerprint, h History, depth int, c Crash) History {
+	added := History{Crashes: []Crash{c}, Depth: depth}
+	added.Survived, _ = t.survived.Peek(p)
+	return Merge(h, added).trim()
+}
+
+// recordSurvival records that a target has answered a request with the parts.
+func (t *Tracker) recordSurvival(parts []Fingerprint, now time.Time) {
+	for _, p := range parts {
+		t.survived.Add(p, now)
+		h, ok := t.parts[p]
+		if !ok {
+			continue
+		}
+		h.Survived = now
+		h.Trial.Ended = true
+		t.parts[p] = h
+		t.changed = true
+		t.recordOwnChange(p, now)
+	}
+}
+
+// importPart merges the record of a part from another host.
+func (t *Tracker) importPart(r Record, now time.Time) {
+	received := r.history(now)
+	if own, ok := t.survived.Peek(r.Print); ok && own.After(received.Survived) {
+		received.Survived = own
+	}
+	t.storePart(r.Print, Merge(t.parts[r.Print], received).trim(), now)
+}
+
+// storePart stores the history of a part. Above the limit it evicts the one with the
+// fewest crashes that count, and among these the one whose latest crash is the oldest.
+func (t *Tracker) storePart(p Fingerprint, h History, now time.Time) {
+	t.changed = true
+	t.parts[p] = h
+	if len(t.parts) <= maxSuspectParts {
+		return
+	}
+	t.expire(now)
+	for len(t.parts) > maxSuspectParts {
+		var evicted Fingerprint
+		fewest, oldest := maxStoredCrashes+1, now
+		for q, g := range t.parts {
+			n, _ := g.partCrashes(nil, now)
+			if n < fewest || n == fewest && g.lastCrash().Before(oldest) {
+				evicted, fewest, oldest = q, n, g.lastCrash()
+			}
+		}
+		t.forget(evicted)
+	}
+}
+
+// judge finds the verdicts on parts after a change. The caller holds mu.
+func (t *Tracker) judge(now time.Time) {
+	if !t.changed && now.Sub(t.judgedAt) < judgeInterval {
+		return
+	}
+	t.changed, t.judgedAt = false, now
+	t.verdicts = judge(t.parts, now)
+}
+
+// cancelQuarantined cancels the attempts with a quarantined part whose targets have not
+// begun to answer. The caller holds mu.
+func (t *Tracker) cancelQuarantined(now time.Time) {
+	if len(t.parts) == 0 {
+		return
+	}
+	t.judge(now)
+	if len(t.verdicts.quarantined) == 0 {
+		return
+	}
+	for id, f := range t.inFlight {
+		_, refused := t.decideParts(f.parts, now).(Refuse)
+		if refused && !f.answered && f.cancel != nil {
+			go f.cancel()
+			f.cancel = nil
+			t.inFlight[id] = f
+		}
+	}
+}
+
+// unexplained returns the history of a request without the crashes that a quarantined
+// part explains. The caller holds mu.
+func (t *Tracker) unexplained(h History, now time.Time) History {
+	if len(h.Crashes) == 0 || len(t.parts) == 0 {
+		return h
+	}
+	t.judge(now)
+	for p := range t.verdicts.quarantined {
+		crashes := t.parts[p].Crashes
+		h.Crashes = slices.DeleteFunc(slices.Clone(h.Crashes), func(c Crash) bool {
+			return slices.ContainsFunc(crashes, c.isSameCrash)
+		})
+	}
+	return h
+}
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 const (
@@ -14,6 +17,13 @@
 	// defaultSpread is the time that a record takes to reach all hosts of a region
 	// if each host sends it to 3 peers per second.
 	defaultSpread = 5 * time.Second
+	// maxSuspectParts bounds the parts with crashes that a host tracks, and
+	// maxSurvivedParts those that it remembers because a target has survived them.
+	maxSuspectParts  = 512
+	maxSurvivedParts = 8192
+	// judgeInterval is the time after which verdicts are found anew without a change, as
+	// crashes expire.
+	judgeInterval = time.Second
 )
 
 // Result is the result of an attempt.
@@ -74,12 +84,32 @@
 	onChanged  func()
 	// nextExport rotates through the histories that Export returns in turn.
 	nextExport int
+
+	// parts holds the parts of prompts that were in flight at crashes, and survived when
+	// a target last answered a request with a part.
+	parts    map[Fingerprint]History
+	survived *lru.Cache[Fingerprint, time.Time]
+	// verdicts are those on parts, found at judgedAt; changed says that parts have
+	// changed since.
+	verdicts verdicts
+	judgedAt time.Time
+	changed  bool
+	// trialDelay is how long this host waits after a quarantine before it starts a trial.
+	trialDelay time.Duration
 }
 
 // inFlightAttempt is an attempt that has begun and not ended.
 type inFlightAttempt struct {
 	print  Fingerprint // fingerprint of the request
+	parts  []Fingerprint
 	target string
+	// shared says that the attempt runs beside other suspects, so that a crash says
+	// nothing about the whole request.
+	shared bool
+	// answered says that the target has begun to answer and has not crashed.
+	answered bool
+	// cancel ends the attempt once one of its parts is quarantined.
+	cancel func()
 }
 
 // Stats holds the numbers of tracked fingerprints and of attempts in flight.
@@ -87,7 +117,10 @@
 	Suspects    int `json:"suspects"`
 	Quarantines int `json:"quarantines"`
 	Entries     int `json:"entries"`
-	InFlight    int `json:"flights"`
+	// SuspectedParts and QuarantinedParts are numbers of parts of prompts.
+	SuspectedParts   int `json:"parts"`
+	QuarantinedParts int `json:"partquarantines"`
+	InFlight         int `json:"flights"`
 }
 
 // New returns an empty tracker.
@@ -95,41 +128,104 @@
 	t := &Tracker{
 		histories: map[Fingerprint]History{}, inFlight: map[string]inFlightAttempt{}, ownChanges: map[Fingerprint]time.Time{},
 		limit: maxFingerprints, spread: defaultSpread, onChanged: func() {},
+		parts: map[Fingerprint]History{}, trialDelay: rand.N(trialDelaySpread),
 	}
+	t.survived, _ = lru.New[Fingerprint, time.Time](maxSurvivedParts) // fails for sizes below 1 only
 	for _, o := range opts {
 		o(t)
 	}
 	return t
 }
 
-// Admit decides whether a request may run.
-func (t *Tracker) Admit(p Fingerprint, now time.Time) Decision {
+// Admit decides whether a request may run. The parts are those of its prompt that
+// other requests may have in common, in order.
+func (t *Tracker) Admit(p Fingerprint, now time.Time, parts ...Fingerprint) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Decide(t.histories[p], now, t.spread)
+	return t.decide(p, parts, now)
+}
+
+// decide decides from the parts of a request first, then from the whole. The caller
+// holds mu.
+func (t *Tracker) decide(p Fingerprint, parts []Fingerprint, now time.Time) Decision {
+	d := t.decideParts(parts, now)
+	switch d.(type) {
+	case Refuse, Wait:
+		return d
+	}
+	if whole := Decide(t.unexplained(t.histories[p], now), now, t.spread); whole != (Run{}) {
+		return whole
+	}
+	return d
 }
 
 // Begin records an attempt immediately before it is sent. It returns false if the
 // request must not run, or not on this target.
-func (t *Tracker) Begin(p Fingerprint, attempt, target string, now time.Time) bool {
+func (t *Tracker) Begin(p Fingerprint, attempt, target string, now time.Time, parts ...Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch Decide(t.histories[p], now, t.spread).(type) {
-	case Refuse:
+	whole := false
+	switch t.decide(p, parts, now).(type) {
+	case Refuse, Wait:
 		return false
 	case Isolate:
-		if t.targetsWithSuspects(p, now)[target] {
+		whole = Decide(t.unexplained(t.histories[p], now), now, t.spread) != (Run{})
+		if whole && t.targetsWithSuspects(p, now)[target] {
 			return false
 		}
+	}
+	if whole {
 		h := t.histories[p]
 		h.Trial = Trial{ID: attemptID(attempt, target), Target: target, At: now}
 		t.histories[p] = h
 		t.recordOwnChange(p, now)
 	}
-	t.inFlight[attempt] = inFlightAttempt{print: p, target: target}
+	t.startPartTrials(parts, attempt, target, now)
+	t.inFlight[attempt] = inFlightAttempt{print: p, parts: limitParts(parts), target: target}
+	return true
+}
+
+// BeginShared is like Begin, but allows the attempt on a target that runs other
+// suspects. A crash then says nothing about the whole request.
+func (t *Tracker) BeginShared(p Fingerprint, attempt, target string, now time.Time, parts ...Fingerprint) bool {
+	if t.Begin(p, attempt, target, now, parts...) {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.decide(p, parts, now).(Isolate); !ok {
+		return false
+	}
+	t.startPartTrials(parts, attempt, target, now)
+	t.inFlight[attempt] = inFlightAttempt{print: p, parts: limitParts(parts), target: target, shared: true}
 	return true
 }
 
+// CancelOnQuarantine sets a function that is called if a part of an attempt's prompt is
+// quarantined before the target begins to answer. It is called on its own goroutine.
+func (t *Tracker) CancelOnQuarantine(attempt string, cancel func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f, ok := t.inFlight[attempt]; ok {
+		f.cancel = cancel
+		t.inFlight[attempt] = f
+	}
+}
+
+// Answered records that the target of an attempt has begun to answer and has not
+// crashed since.
+func (t *Tracker) Answered(attempt string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, ok := t.inFlight[attempt]
+	if !ok || f.answered {
+		return
+	}
+	f.answered = true
+	t.inFlight[attempt] = f
+	t.recordSurvival(f.parts, now)
+}
+
 // End records the result of an attempt and returns the state of its request.
 func (t *Tracker) End(attempt string, r Result, now time.Time) Verdict {
 	t.mu.Lock()
@@ -139,6 +235,10 @@
 		return Cleared
 	}
 	delete(t.inFlight, attempt)
+	t.endParts(f, attempt, r, now)
+	if f.shared {
+		return Cleared
+	}
 	h, id := t.histories[f.print], attemptID(attempt, f.target)
 	trial := h.Trial.ID == id
 	if trial {
@@ -146,7 +246,7 @@
 	}
 	switch {
 	case r == Crashed:
-		h = Merge(h, History{Crashes: []Crash{{ID: id, At: now}}}).trim()
+		h = Merge(h, History{Crashes: []Crash{{ID: id, At: now, Late: f.answered}}}).trim()
 	case !trial:
 		return Cleared
 	case r == Survived:
@@ -157,10 +257,10 @@
 	}
 	t.store(f.print, h, now)
 	t.recordOwnChange(f.print, now)
-	switch n, _ := h.activeCrashes(now); {
-	case n >= quarantineCrashes:
+	switch n, late, _ := t.unexplained(h, now).activeCrashes(now); {
+	case isQuarantined(n, late):
 		return Quarantined
-	case n > 0:
+	case n+late > 0:
 		return Suspected
 	}
 	return Cleared
@@ -179,12 +279,12 @@
 func (t *Tracker) targetsWithSuspects(p Fingerprint, now time.Time) map[string]bool {
 	busy := map[string]bool{}
 	for q, h := range t.histories {
-		if n, _ := h.activeCrashes(now); q != p && n > 0 && h.trialRunning(now) {
+		if n, late, _ := h.activeCrashes(now); q != p && isSuspect(n, late) && h.trialRunning(now, trialTimeout) {
 			busy[h.Trial.Target] = true
 		}
 	}
 	for _, f := range t.inFlight {
-		if n, _ := t.histories[f.print].activeCrashes(now); f.print != p && n > 0 {
+		if n, late, _ := t.histories[f.print].activeCrashes(now); f.print != p && isSuspect(n, late) {
 			busy[f.target] = true
 		}
 	}
@@ -203,7 +303,9 @@
 // recordOwnChange records that this host itself has changed a history, and reports the
 // change.
 func (t *Tracker) recordOwnChange(p Fingerprint, now time.Time) {
-	if _, ok := t.histories[p]; ok {
+	_, whole := t.histories[p]
+	_, part := t.parts[p]
+	if whole || part {
 		t.ownChanges[p] = now
 	}
 	t.onChanged()
@@ -212,6 +314,7 @@
 // forget drops a history.
 func (t *Tracker) forget(p Fingerprint) {
 	delete(t.histories, p)
+	delete(t.parts, p)
 	delete(t.ownChanges, p)
 }
 
@@ -237,37 +340,59 @@
 	})
 }
 
+// exportKey orders the records that may be exported.
+type exportKey struct {
+	print Fingerprint
+	rank  int
+	last  time.Time
+}
+
 // sample returns at most limit of the records that match: half of them by rank and
 // age, the others in rotation. The caller holds mu.
 func (t *Tracker) sample(limit int, now time.Time, matches func(Fingerprint) bool) []Record {
-	var all []Record
-	for p, h := range t.histories {
-		if matches(p) {
-			all = append(all, h.record(p, now))
+	var all []exportKey
+	for _, histories := range []map[Fingerprint]History{t.parts, t.histories} {
+		for p, h := range histories {
+			if matches(p) {
+				all = append(all, exportKey{print: p, rank: h.exportRank(now, t.spread), last: h.lastCrash()})
+			}
 		}
 	}
-	slices.SortFunc(all, func(a, b Record) int {
-		return cmp.Or(
-			cmp.Compare(a.exportRank(t.spread), b.exportRank(t.spread)),
-			cmp.Compare(slices.Min(a.Ages), slices.Min(b.Ages)), slices.Compare(a.Print[:], b.Print[:]),
-		)
+	slices.SortFunc(all, func(a, b exportKey) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), b.last.Compare(a.last), slices.Compare(a.print[:], b.print[:]))
 	})
-	if len(all) <= limit {
-		return all
+	if len(all) > limit {
+		older := all[limit/2:]
+		all = all[: limit/2 : limit/2]
+		for range limit - limit/2 {
+			t.nextExport++
+			all = append(all, older[t.nextExport%len(older)])
+		}
 	}
-	out, older := all[:limit/2:limit/2], all[limit/2:]
-	for range limit - limit/2 {
-		t.nextExport++
-		out = append(out, older[t.nextExport%len(older)])
+	out := make([]Record, 0, len(all))
+	for _, k := range all {
+		out = append(out, t.history(k.print).record(k.print, now))
 	}
 	return out
 }
 
-// exportRank is lower for records that other hosts need sooner: those of requests that
-// have crashed more than one target, the last one within a period.
-func (r Record) exportRank(period time.Duration) int {
-	if len(r.IDs) > 1 && time.Duration(slices.Min(r.Ages))*time.Millisecond < period {
+// history returns the history of a request or of a part.
+func (t *Tracker) history(p Fingerprint) History {
+	if h, ok := t.parts[p]; ok {
+		return h
+	}
+	return t.histories[p]
+}
+
+// exportRank is lower for histories that other hosts need sooner: those of requests and
+// parts that have crashed more than one target, the last one within a period, and then
+// those that a target has crashed under before it answered.
+func (h History) exportRank(now time.Time, period time.Duration) int {
+	switch {
+	case len(h.Crashes) > 1 && now.Sub(h.lastCrash()) < period:
 		return 0
+	case slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.Late }):
+		return 2
 	}
 	return 1
 }
@@ -283,8 +408,13 @@
 			err = invalid
 			continue
 		}
+		if r.Depth > 0 {
+			t.importPart(r, now)
+			continue
+		}
 		t.store(r.Print, Merge(t.histories[r.Print], r.history(now)).trim(), now)
 	}
+	t.cancelQuarantined(now)
 	return err
 }
 
@@ -292,12 +422,16 @@
 func (t *Tracker) Stats(now time.Time) Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := Stats{Entries: len(t.histories), InFlight: len(t.inFlight)}
+	t.judge(now)
+	s := Stats{
+		Entries: len(t.histories), InFlight: len(t.inFlight),
+		SuspectedParts: len(t.verdicts.suspected), QuarantinedParts: len(t.verdicts.quarantined),
+	}
 	for _, h := range t.histories {
-		switch n, _ := h.activeCrashes(now); {
-		case n >= quarantineCrashes:
+		switch n, late, _ := t.unexplained(h, now).activeCrashes(now); {
+		case isQuarantined(n, late):
 			s.Quarantines++
-		case n > 0:
+		case n+late > 0:
 			s.Suspects++
 		}
 	}
@@ -321,7 +455,7 @@
 		var evicted Fingerprint
 		fewest, oldest := maxStoredCrashes+1, now
 		for q, f := range t.histories {
-			n, _ := f.activeCrashes(now)
+			n, _, _ := f.activeCrashes(now)
 			if n < fewest || n == fewest && f.lastCrash().Before(oldest) {
 				evicted, fewest, oldest = q, n, f.lastCrash()
 			}
@@ -331,7 +465,16 @@
 }
 
 // expire drops the histories whose crashes no longer count.
+//
+// A part that a target has survived is kept until other hosts have its record.
 func (t *Tracker) expire(now time.Time) {
+	for p, h := range t.parts {
+		cleared := h.Survived.After(h.lastCrash()) && now.Sub(h.Survived) >= t.spread
+		if cleared || now.Sub(h.lastCrash()) >= partRetention {
+			t.forget(p)
+			t.changed = true
+		}
+	}
 	for p, h := range t.histories {
 		if now.Sub(h.lastCrash()) >= crashRetention {
 			t.forget(p)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -29,14 +29,19 @@
 // and no retry is allowed.
 type incomplete struct{ reason string }
 
+// quarantined says that the attempt was not made, or was cancelled before its target
+// began to answer, because a part of its prompt crashes targets.
+type quarantined struct{ crash.Refuse }
+
 // aborted says that the deadline of the request passed or that the client
 // disconnected.
 type aborted struct{ cause error }
 
-func (retryable) attemptResult()  {}
-func (completed) attemptResult()  {}
-func (incomplete) attemptResult() {}
-func (aborted) attemptResult()    {}
+func (retryable) attemptResult()   {}
+func (completed) attemptResult()   {}
+func (incomplete) attemptResult()  {}
+func (quarantined) attemptResult() {}
+func (aborted) attemptResult()     {}
 
 const (
 	// stallCheckInterval is the time between two checks of a stream without an
@@ -51,23 +56,22 @@
 	// stallLatencyFactor limits the wait for the next event of a target that
 	// reports no waiting requests, in multiples of the latency target of the route.
 	stallLatencyFactor = 3
+	// survivalTime is the time after its first event from which a stream shows that its
+	// prompt does not crash the target, as a crash may reach this host late.
+	survivalTime = 100 * time.Millisecond
 )
 
+// errQuarantined is the cancellation cause of an attempt whose prompt has a part that
+// crashes targets.
+var errQuarantined = errors.New("a part of the prompt crashes targets")
+
 // runAttempt sends a request to one target and relays the response.
 func (p *Proxy) runAttempt(ctx context.Context, j *job, c reservation) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer c.attempt.End(fleet.Failed) // has no effect unless the code below panics
-	id := j.ID + "/" + c.ID
-	if !p.crashes.Begin(j.fingerprint, id, c.ID, time.Now()) {
-		if _, refused := p.crashes.Admit(j.fingerprint, time.Now()).(crash.Refuse); refused {
-			c.attempt.End(fleet.ClientDisconnected)
-			return incomplete{reason: "earlier runs of this request crashed their targets"}
-		}
-		// After many targets have crashed there can be more suspect requests than
-		// targets to test them alone. This attempt then runs beside others, so its
-		// result proves nothing about the request.
-	}
+	defer c.attempt.End(fleet.Failed)                         // has no effect unless the code below panics
+	defer p.crashes.End(c.id, crash.Inconclusive, time.Now()) // likewise
+	p.crashes.CancelOnQuarantine(c.id, func() { cancel(errQuarantined) })
 	sent := wire.BootTime()
 	result, outcome := p.roundTrip(ctx, cancel, j, c)
 	crashed := outcome == fleet.Failed && !p.reachable(context.WithoutCancel(ctx), c.Address)
@@ -76,13 +80,16 @@
 	}
 	c.attempt.End(outcome)
 	defer p.DispatchSoon()
-	if verdict := p.crashes.End(id, crashResult(outcome, crashed), time.Now()); verdict != crash.Cleared {
+	if verdict := p.crashes.End(c.id, crashResult(outcome, crashed), time.Now()); verdict != crash.Cleared {
 		j.log.Info(
 			"target crashed during the attempt", zap.String("target", c.ID), zap.Bool("quarantined", verdict == crash.Quarantined),
 			zap.Strings("parts", sharedPartIDs(j.Prompt)), zap.Int64("run", (wire.BootTime()-sent).Milliseconds()),
 			zap.Int64("events", j.eventsSince(sent).Milliseconds()),
 		)
 	}
+	if _, ok := result.(aborted); ok && errors.Is(context.Cause(ctx), errQuarantined) {
+		return p.quarantinedResult(j, c)
+	}
 	p.Metrics.Observe("attempt", wire.BootTime()-sent)
 	if r, ok := result.(retryable); ok {
 		j.excluded[c.ID] = true
@@ -95,6 +102,17 @@
 	return result
 }
 
+// quarantinedResult returns the result of an attempt that was cancelled because a part of
+// its prompt was quarantined.
+func (p *Proxy) quarantinedResult(j *job, c reservation) attemptResult {
+	j.log.Info("attempt cancelled: a part of its prompt is quarantined", zap.String("target", c.ID), zap.Strings("parts", sharedPartIDs(j.Prompt)))
+	r, ok := p.crashes.Admit(j.fingerprint, time.Now(), j.parts...).(crash.Refuse)
+	if !ok {
+		return retryable{reason: errQuarantined.Error()}
+	}
+	return quarantined{r}
+}
+
 // eventsSince returns the time since the first event of the attempt that started at a
 // boot time; zero if the target has sent none.
 func (j *job) eventsSince(started time.Duration) time.Duration {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -21,15 +21,20 @@
 // as in flight.
 type reservation struct {
 	fleet.Status
+	// id identifies the attempt among those that may crash their targets.
+	id      string
 	plan    *CachePlan
 	attempt *fleet.Attempt
 	// sent is the boot time of the reservation.
 	sent time.Duration
 }
 
-// reserve registers an attempt at a target and plans its use of the KV cache.
+// reserve registers an attempt at a target and plans its use of the KV cache. After
+// many targets have crashed there can be more suspect requests than targets to test
+// them alone, so that an attempt may run beside other suspects.
 func (p *Proxy) reserve(j *job, s fleet.Status, c place.Candidate, candidates int) reservation {
-	chosen := reservation{Status: s, sent: wire.BootTime()}
+	chosen := reservation{Status: s, id: j.ID + "/" + s.ID, sent: wire.BootTime()}
+	p.crashes.BeginShared(j.fingerprint, chosen.id, s.ID, time.Now(), j.parts...)
 	load := fleet.InFlight{}
 	if j.Prompt != nil {
 		version := s.Versions[j.Prompt.Model]
@@ -154,6 +159,17 @@
 	j.log.Info("target chosen", fields...)
 }
 
+// hashParts returns a hash for each shared part of a prompt. Parts are the same in the
+// prompts of all accounts.
+func hashParts(prompt *Prompt) []crash.Fingerprint {
+	ids := sharedPartIDs(prompt)
+	hashes := make([]crash.Fingerprint, 0, len(ids))
+	for _, id := range ids[:min(len(ids), crash.MaxParts)] {
+		hashes = append(hashes, crash.NewPartFingerprint(prompt.Model, id))
+	}
+	return hashes
+}
+
 // hashRequest returns a hash that is equal for equal requests of one account.
 func hashRequest(j *job) crash.Fingerprint {
 	h := blake3.New()
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -30,6 +30,8 @@
 			return
 		}
 		p.fail(j, http.StatusBadGateway, o.reason)
+	case quarantined:
+		p.endQuarantined(j, o.Refuse)
 	case aborted:
 		p.abort(ctx, j, o.cause)
 	}
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -51,7 +51,9 @@
 	// latest.
 	deadline    time.Duration
 	fingerprint crash.Fingerprint
-	log         *zap.Logger
+	// parts identify the shared parts of the prompt as possible causes of a crash.
+	parts []crash.Fingerprint
+	log   *zap.Logger
 	// pooledBody is the request body, whose memory counts against the pool.
 	pooledBody *bound.Buffer
 
@@ -131,6 +133,7 @@
 	}
 	j.setDeadline()
 	j.fingerprint = hashRequest(j)
+	j.parts = hashParts(j.Prompt)
 	return true
 }
 
@@ -186,8 +189,8 @@
 func (p *Proxy) serve(ctx context.Context, j *job) {
 	p.Metrics.Count("requests")
 	p.window(j.service.Name).AddRequest(wire.BootTime())
-	if refuse, ok := p.crashes.Admit(j.fingerprint, time.Now()).(crash.Refuse); ok {
-		p.refuse(j, "earlier runs of this request crashed their targets", refuse.RetryAfter)
+	if refuse, ok := p.crashes.Admit(j.fingerprint, time.Now(), j.parts...).(crash.Refuse); ok {
+		p.refuseQuarantined(j, refuse)
 		return
 	}
 	for {
@@ -206,6 +209,9 @@
 		case waitExpired:
 			p.queueTimedOut(ctx, j, v.queueTime)
 			return
+		case refused:
+			p.endQuarantined(j, v.Refuse)
+			return
 		case granted:
 			result := p.runAttempt(ctx, j, v.reservation)
 			if _, retry := result.(retryable); !retry {
@@ -216,6 +222,27 @@
 	}
 }
 
+// refuseQuarantined answers a request that has not run and would crash its target. The
+// delay lasts until the end of the quarantine.
+func (p *Proxy) refuseQuarantined(j *job, r crash.Refuse) {
+	reason := "earlier runs of this request crashed their targets"
+	if r.Part {
+		reason = r.Reason
+		j.log.Info("a part of the prompt is quarantined", zap.Strings("parts", sharedPartIDs(j.Prompt)))
+	}
+	p.refuse(j, reason, r.RetryAfter)
+}
+
+// endQuarantined ends a request that was found to crash its target after it was
+// admitted.
+func (p *Proxy) endQuarantined(j *job, r crash.Refuse) {
+	if j.headerSent || j.attempts > 0 {
+		p.giveUp(j, r.Reason)
+		return
+	}
+	p.refuseQuarantined(j, r)
+}
+
 // queueTimedOut ends a request that got no target in time.
 func (p *Proxy) queueTimedOut(ctx context.Context, j *job, queueTime time.Duration) {
 	if ctx.Err() != nil {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -53,6 +54,9 @@
 					p.planner.RecordFetch(c.plan.Fetch, c.plan.FetchMs, wire.BootTime()-c.sent)
 				}
 			}
+			if j.eventsSince(c.sent) >= survivalTime {
+				p.crashes.Answered(c.id, time.Now())
+			}
 			if !p.forwardEvents(j, r, buffered[:end+len(eventDelimiter)]) {
 				return aborted{cause: context.Canceled}, fleet.ClientDisconnected
 			}
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/safego"
@@ -28,8 +29,8 @@
 	maxMisses = 4
 )
 
-// waitOutcome is the outcome of a wait for capacity: granted, noTarget or
-// waitExpired.
+// waitOutcome is the outcome of a wait for capacity: granted, noTarget, waitExpired or
+// refused.
 type waitOutcome interface{ waitOutcome() }
 
 // granted carries the reserved target.
@@ -41,9 +42,19 @@
 // waitExpired says that the request waited too long or that too many others wait.
 type waitExpired struct{ queueTime time.Duration }
 
+// refused says that the request must not run, as it or a part of its prompt crashes
+// targets.
+type refused struct{ crash.Refuse }
+
+// onTrial says that the request waits for the trial of another one with the same part
+// of the prompt. Those behind it in the queue need not wait.
+type onTrial struct{}
+
 func (granted) waitOutcome()     {}
 func (noTarget) waitOutcome()    {}
 func (waitExpired) waitOutcome() {}
+func (refused) waitOutcome()     {}
+func (onTrial) waitOutcome()     {}
 
 // waiter is a request that waits for capacity.
 type waiter struct {
@@ -153,9 +164,12 @@
 			break
 		}
 		v := p.safeChoose(list[i].job)
-		if v == nil {
+		switch v.(type) {
+		case nil:
 			misses++
 			continue
+		case onTrial:
+			continue
 		}
 		list[i].result <- v
 		decided[i] = true
@@ -194,6 +208,12 @@
 // choose reserves a target with capacity. It returns noTarget if no target can take
 // the request, and nil if the request must wait.
 func (p *Proxy) choose(j *job) waitOutcome {
+	switch d := p.crashes.Admit(j.fingerprint, time.Now(), j.parts...).(type) {
+	case crash.Refuse:
+		return refused{d}
+	case crash.Wait:
+		return onTrial{}
+	}
 	serving := p.fleet.Serving(j.service.Name)
 	eligible := serving[:0]
 	for _, s := range serving {
