Quarantine blocks of prompts that crash engines behind the other door too

Before: TestFailures/poison_part failed (the fourth prompt was sent, run unknown). After: it passes.

--- a/internal/host/place.go
+++ b/internal/host/place.go
@@ -99,8 +99,7 @@
 	ran := q.attempts.BrokenAttempts > 0 || emitted > 0
 	engineDeadline := time.Now().Add(engineWaitTimeout)
 	for {
-		trial, err := h.checkQuarantine(q)
-		wait := trial && ran
+		wait, err := h.checkQuarantine(q, ran)
 		if err == nil {
 			var d route.Decision
 			if d, err = h.place(ctx, q); err == nil {
@@ -154,15 +153,21 @@
 }
 
 // checkQuarantine refuses a quarantined request, and isolates a request that was in
-// flight when a target died. trial reports whether the refusal depends on a retry
-// that is still running.
-func (h *Host) checkQuarantine(q *request) (trial bool, err error) {
-	switch d := h.crashes.Admit(q.fingerprint, time.Now()).(type) {
+// flight when a target died. wait reports whether the request should wait, as the
+// refusal depends on another attempt that is still running; ran whether it may have run
+// already.
+func (h *Host) checkQuarantine(q *request, ran bool) (wait bool, err error) {
+	switch d := h.crashes.Admit(q.fingerprint, time.Now(), q.parts...).(type) {
 	case crash.Isolate:
 		q.isolated = true
+	case crash.Wait:
+		return true, &entry.RefusalError{
+			Status: http.StatusServiceUnavailable, Kind: entry.KindBroken, Run: entry.RanNo, Retry: time.Second,
+			Message: "targets crashed while running a part of this prompt, and the trial of another request is running; send it again after the given time",
+		}
 	case crash.Refuse:
 		counters.Add("quarantined", 1)
-		return d.TrialRunning, &entry.RefusalError{
+		return d.TrialRunning && ran, &entry.RefusalError{
 			Status: http.StatusServiceUnavailable, Kind: entry.KindBroken, Run: entry.RanNo, Retry: d.RetryAfter,
 			Message: d.Reason + "; change the prompt, or send it again after the given time",
 		}
@@ -352,9 +357,10 @@
 		return nil, &target.NotRunError{Target: name, Reason: "it is no longer listed"}
 	}
 	attempt := newAttempt()
-	if !h.crashes.Begin(q.fingerprint, attempt, name, time.Now()) {
+	if !h.crashes.Begin(q.fingerprint, attempt, name, time.Now(), q.parts...) {
 		return nil, errSuspect
 	}
+	h.crashes.CancelOnQuarantine(attempt, func() { h.cancelQuarantinedRun(ctx, name, attempt) })
 	h.fleet.addRun(name, q.versionUse(), len(q.tokens), time.Now())
 	s, err := e.Generate(ctx, target.GenerateRequest{
 		Attempt: attempt, Account: q.account.Name, Model: q.namespace.Model, Version: q.namespace.Version,
@@ -398,6 +404,16 @@
 	return nil, cause
 }
 
+// cancelQuarantinedRun cancels a run at its engine before it crashes the engine.
+func (h *Host) cancelQuarantinedRun(ctx context.Context, name, attempt string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	if e := h.fleet.engine(name); e != nil {
+		counters.Add("quarantine_cancels", 1)
+		_ = e.Cancel(ctx, attempt) // a run that is not cancelled shows in its own result
+	}
+}
+
 func overloaded(after time.Duration) *entry.RefusalError {
 	return &entry.RefusalError{
 		Status: http.StatusServiceUnavailable, Kind: entry.KindOverloaded, Run: entry.RanNo, Retry: after,
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -28,6 +28,9 @@
 	// connections for a short time before it refuses them, and only a refused
 	// connection shows that it died.
 	reattachInterval = 20 * time.Millisecond
+	// survivalTime is the time after its first token from which a run shows that its
+	// prompt does not crash the engine, as a crash may reach this host late.
+	survivalTime = 100 * time.Millisecond
 )
 
 func newAttempt() string { return uuid.NewString() }
@@ -53,6 +56,8 @@
 	id          string
 	streamState retry.Stream
 	emitted     []uint32
+	// firstTokenAt is when the first token of the current attempt arrived.
+	firstTokenAt time.Time
 	// reattached is true if this attempt was resumed at the same engine since the
 	// last token.
 	reattached bool
@@ -125,9 +130,21 @@
 		r.host.measures.recordFirstToken(time.Since(r.request.arrived))
 	}
 	r.emitted = append(r.emitted, c.Token)
+	r.recordAnswered()
 	r.reattached = false
 }
 
+// recordAnswered records that the engine has survived the start of the attempt, once it
+// has streamed tokens for survivalTime.
+func (r *run) recordAnswered() {
+	switch now := time.Now(); {
+	case r.firstTokenAt.IsZero():
+		r.firstTokenAt = now
+	case !r.remote && now.Sub(r.firstTokenAt) >= survivalTime:
+		r.host.crashes.Answered(r.attempt, now)
+	}
+}
+
 // ended records a complete response.
 func (r *run) ended(c target.Chunk) {
 	q := r.request
@@ -182,6 +199,7 @@
 	counters.Add("runs_moved", 1)
 	r.stream, r.target, r.attempt, r.id = n.stream, n.target, n.attempt, n.id
 	r.streamState, r.remote, r.region, r.reattached = n.streamState, n.remote, n.region, false
+	r.firstTokenAt = time.Time{}
 	return nil
 }
 
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -40,6 +40,8 @@
 	attempts retry.Input
 	// fingerprint identifies the prompt in the quarantine of crashing requests.
 	fingerprint crash.Fingerprint
+	// parts identify the leading blocks of the prompt as possible causes of a crash.
+	parts []crash.Fingerprint
 	// isolated forbids targets that run another suspect request.
 	isolated bool
 	// noIsolatedEngine is true if each engine that could run the isolated request
@@ -140,6 +142,7 @@
 		tokens:      p.Tokens,
 		max:         p.Max,
 		fingerprint: crash.NewFingerprint(p.Account, m.Name, p.Tokens),
+		parts:       hashBlocks(p.Account, m.Name, p.Tokens, f.document.Deployment.BlockTokens),
 		priority:    p.Priority,
 		deadline:    p.Deadline,
 		startBy:     startBy,
@@ -147,6 +150,18 @@
 	}, nil
 }
 
+// hashBlocks returns a hash for each of the leading whole blocks of a prompt that other
+// prompts of the account may hold too. The last block belongs to the request alone.
+func hashBlocks(account, model string, tokens []uint32, blockTokens int) []crash.Fingerprint {
+	var hashes []crash.Fingerprint
+	for len(tokens) > blockTokens && len(hashes) < crash.MaxParts {
+		block := crash.NewFingerprint(account, model, tokens[:blockTokens])
+		hashes = append(hashes, crash.NewPartFingerprint(model, string(block[:])))
+		tokens = tokens[blockTokens:]
+	}
+	return hashes
+}
+
 // chain sets the keys of the prompt's blocks.
 func (q *request) chain() {
 	q.keys = chain.Keys(q.namespace, q.tokens, q.active.document.Deployment.BlockTokens)
