Log the rate limits that targets name

The log does not show whether a host has got an answer with a limit, so that a limit that is not read cannot be told from one that is not kept. No decision depends on it yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,9 @@
 	dropAt time.Duration
 	// remote is the sum of the in-flight loads that the other hosts report.
 	remote InFlight
+	// rateLimit is the number of requests a second that the target takes from all hosts
+	// together.
+	rateLimit float64
 }
 
 // Option changes a default of New.
@@ -291,7 +294,7 @@
 // reset starts a new state for a target that is new or has restarted. The load
 // that other hosts reported for its ID counts for it too, until they report again.
 func (f *Fleet) reset(t Target) {
-	s := &state{Target: &t}
+	s := &state{Target: &t, rateLimit: Unlimited}
 	for _, r := range f.remoteLoads {
 		s.remote = s.remote.Add(r.byTarget[t.ID])
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -285,6 +285,9 @@
 	if r.Load != nil {
 		p.fleet.RecordLoad(c.ID, *r.Load)
 	}
+	if r.Sealed || r.RateLimit != fleet.Unlimited {
+		p.fleet.RecordRateLimit(c.ID, r.RateLimit)
+	}
 	if r.Version > 0 && s.Call.Prompt != nil {
 		p.fleet.RecordVersion(c.ID, s.Call.Prompt.Model, r.Version)
 	}
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -109,6 +109,9 @@
 	// if the weights of the target differ from the planned ones.
 	WrongTarget bool
 	Load        *fleet.Load
+	// RateLimit is the number of requests a second that the target takes from all hosts
+	// together; fleet.Unlimited if it names none.
+	RateLimit float64
 	// Version is the weight version that ran the request; zero if the target does
 	// not state it.
 	Version int
