Keep the rate limits that targets name, over all hosts together

Nothing read the limit.

Class: a limit on a shared resource that each client would have to keep for all of them. A host now sends its equal share of a limit, from a token bucket per target. Where a share is so small that the first tokens of all hosts would be a burst, hosts take turns by rank and time of day. Placement passes over a target without a token; a request waits only if no other target can take it, and is refused at once if the wait would be too long. Each attempt counts: first ones, repeats, resumed streams. The newest limit that a target named to any host counts, spread in the messages between hosts, for 10 s after the last answer that named it; it ends with the target or with an answer that names none.

Ruled out: a share by demand, as shares far below one request a second follow single requests; applying the limit per host, which sends six times as much from six hosts.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,9 +68,7 @@
 	dropAt time.Duration
 	// remote is the sum of the in-flight loads that the other hosts report.
 	remote InFlight
-	// rateLimit is the number of requests a second that the target takes from all hosts
-	// together.
-	rateLimit float64
+	limit  observedLimit
 }
 
 // Option changes a default of New.
@@ -294,7 +292,7 @@
 // reset starts a new state for a target that is new or has restarted. The load
 // that other hosts reported for its ID counts for it too, until they report again.
 func (f *Fleet) reset(t Target) {
-	s := &state{Target: &t, rateLimit: Unlimited}
+	s := &state{Target: &t}
 	for _, r := range f.remoteLoads {
 		s.remote = s.remote.Add(r.byTarget[t.ID])
 	}
@@ -310,6 +308,7 @@
 func (s *state) status(now time.Duration) Status {
 	st := Status{
 		Target: s.Target, InFlight: s.inFlight, LastDataAt: s.lastDataAt, Waiting: s.waiting, FailureRate: s.currentFailureRate(now), Down: s.down(now),
+		RateLimit: s.limit.current(now),
 	}
 	if s.replyVersions != nil && now-s.replyVersionsAt < versionGrace {
 		t := *s.Target
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -178,4 +178,44 @@
 		s, _ := f.Get("a")
 		Expect(s.Versions["m"]).To(Equal(2))
 	})
+
+	limit := func(id string) float64 {
+		s, _ := f.Get(id)
+		return s.RateLimit
+	}
+
+	// Guards against hosts that go on at full rate until a target tells each of them.
+	It("takes the newest limit that a target has named to any host", func() {
+		f.RecordRateLimit("a", 2)
+		Expect(limit("a")).To(Equal(2.0))
+		Expect(limit("b")).To(Equal(float64(fleet.Unlimited)))
+		other := fleet.New(fleet.WithClock(func() time.Duration { return now }))
+		other.Replace([]fleet.Target{target("a", 5)})
+		other.RecordRemoteRateLimits(f.RateLimits())
+		Expect(other.RateLimits()).To(Equal(f.RateLimits()))
+		now += time.Second
+		f.RecordRateLimit("a", fleet.Unlimited)
+		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
+		f.RecordRemoteRateLimits(other.RateLimits())
+		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)), "an older report replaced a newer one")
+		other.RecordRemoteRateLimits(f.RateLimits())
+		s, _ := other.Get("a")
+		Expect(s.RateLimit).To(Equal(float64(fleet.Unlimited)))
+	})
+
+	// Guards against a limit that outlives the need or the start of its target.
+	It("drops a limit that is not named for a while, or whose target restarts", func() {
+		f.RecordRateLimit("a", 4)
+		reports := f.RateLimits()
+		f.Put(target("a", 9))
+		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
+		f.RecordRemoteRateLimits(reports)
+		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
+		f.RecordRateLimit("a", 4)
+		now += 9 * time.Second
+		Expect(limit("a")).To(Equal(4.0))
+		now += 2 * time.Second
+		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
+		Expect(f.RateLimits()).To(BeEmpty())
+	})
 })
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -58,6 +58,9 @@
 	// Down is set while a target is excluded because it did not accept a
 	// connection, or another host reported so.
 	Down bool `json:"down"`
+	// RateLimit is the number of requests a second that the target takes from all hosts
+	// together; Unlimited if it names none.
+	RateLimit float64 `json:"limit"`
 }
 
 // Change is a change of the host's view of one target.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,8 +10,8 @@
 // other the sums of their followers. The traffic of a host then does not grow with
 // the number of hosts. A follower switches to the next hub after three queries
 // without a reply. Desired weight versions, loading engines, the versions of the
-// platform's tables and records of requests that crash targets spread in the same
-// messages.
+// platform's tables, rate limits that targets name and records of requests that crash
+// targets spread in the same messages.
 //
 // # Usage
 //
@@ -70,6 +70,8 @@
 	OmitsLoad bool `cbor:"11,keyasint,omitempty"`
 	// Crashes are records of requests that have crashed targets.
 	Crashes []crash.Record `cbor:"12,keyasint,omitempty"`
+	// RateLimits are the limits that targets have named, by target.
+	RateLimits map[string]fleet.RateLimit `cbor:"13,keyasint,omitempty"`
 }
 
 // Kind is the kind of a message.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -55,6 +55,7 @@
 			p.Metrics.Counters.Add("read "+string(cause), int64(tokens))
 		}
 	}
+	p.takeRate(s.ID)
 	chosen.attempt = p.fleet.Begin(s.ID, load)
 	p.logPlacement(j, chosen, c, candidates)
 	return chosen
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/rates"
 	"sesamehill.example/sesamehill/internal/retry"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -35,6 +36,10 @@
 // budget.
 func WithHosts(f func() int) Option { return func(p *Proxy) { p.hosts = f } }
 
+// WithShare sets the position of this host among those that share the rate limits of
+// targets.
+func WithShare(f func() rates.Share) Option { return func(p *Proxy) { p.share = f } }
+
 // WithCachePlanner sets the policy for fetching and saving KV cache entries.
 func WithCachePlanner(k CachePlanner) Option { return func(p *Proxy) { p.planner = k } }
 
@@ -69,6 +74,7 @@
 	allowance retry.Allowance
 	distance  func(zone string) place.Distance
 	hosts     func() int
+	share     func() rates.Share
 	costs     place.Costs
 	placement atomic.Pointer[place.Rule]
 	// staleLimit is a time.Duration. Engines with older weights get no requests
@@ -90,8 +96,14 @@
 	// It also guards waitQueues, the requests that wait for capacity, by service.
 	placementMu sync.Mutex
 	waitQueues  map[string][]*waiter
+	// buckets hold what this host may still send to targets that name a rate limit, by
+	// target. placementMu guards them too.
+	buckets map[string]*rates.Bucket
 	// dispatchPending is set while a dispatch of the waiting requests is scheduled.
 	dispatchPending atomic.Bool
+	// limitPollPending is set while a dispatch is scheduled for requests that wait for
+	// targets with a rate limit.
+	limitPollPending atomic.Bool
 }
 
 // New returns a proxy that answers 503 until it gets its first configuration.
@@ -101,6 +113,7 @@
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
+		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), dialer: wire.Dialer(),
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
 	}
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/crash"
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/safego"
@@ -205,6 +206,27 @@
 	return v
 }
 
+// eligible returns the targets that may take a request now. The time is the shortest wait
+// for a target that may take no more than the rate limit that it names; zero if there is
+// none.
+func (p *Proxy) eligible(j *job) (targets []fleet.Status, limitedFor time.Duration) {
+	serving := p.fleet.Serving(j.service.Name)
+	targets = serving[:0]
+	for _, s := range serving {
+		if j.excluded[s.ID] || p.weights.Loading(s.ID) || p.outdated(j, s) {
+			continue
+		}
+		if wait := p.rateWait(s); wait > 0 {
+			if limitedFor == 0 || wait < limitedFor {
+				limitedFor = wait
+			}
+			continue
+		}
+		targets = append(targets, s)
+	}
+	return targets, limitedFor
+}
+
 // choose reserves a target with capacity. It returns noTarget if no target can take
 // the request, and nil if the request must wait.
 func (p *Proxy) choose(j *job) waitOutcome {
@@ -214,13 +236,17 @@
 	case crash.Wait:
 		return onTrial{}
 	}
-	serving := p.fleet.Serving(j.service.Name)
-	eligible := serving[:0]
-	for _, s := range serving {
-		if !j.excluded[s.ID] && !p.weights.Loading(s.ID) && !p.outdated(j, s) {
-			eligible = append(eligible, s)
-		}
+	eligible, limitedFor := p.eligible(j)
+	v := p.chooseFrom(j, eligible)
+	if _, ok := v.(granted); !ok && limitedFor > 0 && limitedFor < p.waitLimit(j) {
+		p.dispatchAfter(limitedFor)
+		return nil
 	}
+	return v
+}
+
+// chooseFrom reserves one of the eligible targets.
+func (p *Proxy) chooseFrom(j *job, eligible []fleet.Status) waitOutcome {
 	lookups := map[string]CachedParts{}
 	cs := make([]place.Candidate, len(eligible))
 	for i, s := range eligible {
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -19,6 +19,7 @@
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/proxy"
+	"sesamehill.example/sesamehill/internal/rates"
 	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/table"
@@ -134,7 +135,7 @@
 	h.targets = &targetWatcher{decoder: p, fleet: h.fleet, log: h.log}
 	h.proxy = proxy.New(
 		p.Codec(), h.fleet, proxy.WithLog(h.log), proxy.WithAllowance(s.retryAllowance()),
-		proxy.WithDistance(s.distance), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount),
+		proxy.WithDistance(s.distance), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
 		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog),
 		proxy.WithStaleLimit(s.staleWeightsLimit()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
 	)
@@ -274,6 +275,8 @@
 
 func (h *Host) hostCount() int { return h.members.hostCount() }
 
+func (h *Host) share() rates.Share { return h.members.share() }
+
 // OutdatedFor returns for how long weights newer than a version have been announced, and
 // false if there are none.
 func (h *Host) OutdatedFor(model string, version int) (time.Duration, bool) {
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/rates"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -296,6 +298,19 @@
 	return max(len(m.currentView().live), minAssumedHosts)
 }
 
+// share returns the position of this host among those that share the limits of targets.
+// Before the hosts are known it is one of the assumed number.
+func (m *members) share() rates.Share {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.readAt == 0 {
+		return rates.Share{Hosts: assumedHosts}
+	}
+	live := m.currentView().live
+	rank, _ := slices.BinarySearch(live, m.host.settings.Name)
+	return rates.Share{Rank: rank, Hosts: max(len(live), minAssumedHosts)}
+}
+
 // hostNames returns the names of the hosts that are alive.
 func (m *members) hostNames() []string {
 	m.mu.Lock()
