Keep crashes of a part that count, not many reports of the same ones

Each host tried the part once more, as none had condemned it.

Cause: the history of a part holds 8 reports, the newest ones. When several requests with the part are in flight at each engine, those are reports of one or two crashes within a short time, which count once. Histories of parts now drop reports of the same crash first, and then those that follow another one most closely.

Before: TestParts/many_crashes_in_a_short_time failed (isolate, where refuse is expected). After: it passes.

--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -97,6 +97,27 @@
 	return knownPartCrashes
 }
 
+// trimPart drops crashes beyond maxStoredCrashes: reports of the same crash first, then
+// those that follow another one most closely, as they count once with it.
+func (h History) trimPart() History {
+	if len(h.Crashes) <= maxStoredCrashes {
+		return h
+	}
+	h.Crashes = slices.DeleteFunc(slices.Clone(h.Crashes), h.isDuplicate)
+	slices.SortFunc(h.Crashes, func(x, y Crash) int { return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.ID, y.ID)) })
+	for len(h.Crashes) > maxStoredCrashes {
+		closest := 1
+		for i := 2; i < len(h.Crashes); i++ {
+			if h.Crashes[i].At.Sub(h.Crashes[i-1].At) < h.Crashes[closest].At.Sub(h.Crashes[closest-1].At) {
+				closest = i
+			}
+		}
+		h.Crashes = slices.Delete(h.Crashes, closest, closest+1)
+	}
+	slices.SortFunc(h.Crashes, func(x, y Crash) int { return cmp.Compare(x.ID, y.ID) })
+	return h
+}
+
 // partCrashes returns the number of crashes that count for a part, and the time of the
 // last of them: those since a target has survived it that no other part explains.
 func (h History) partCrashes(explained []Crash, now time.Time) (n int, last time.Time) {
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -1,7 +1,9 @@
 package crash
 
 import (
+	"fmt"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -59,6 +61,8 @@
 		}
 	case "begin":
 		s.begin(line, f, want != "no")
+	case "import":
+		s.importCrashes(f)
 	case "answer":
 		s.hosts[f[1]].Answered(f[2], s.now)
 	case "crash":
@@ -96,6 +100,26 @@
 	t.CancelOnQuarantine(f[2], func() { s.cancelled <- f[2] })
 }
 
+// importCrashes imports that a number of attempts with a part were in flight at the crash
+// of a target some time ago: import HOST PART ATTEMPTS TARGET AGE.
+func (s *partScript) importCrashes(f []string) {
+	s.t.Helper()
+	attempts, err := strconv.Atoi(f[3])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	age, err := time.ParseDuration(f[5])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for i := range attempts {
+		h := History{Depth: 2, Crashes: []Crash{{ID: attemptID(fmt.Sprint(f[4], "/", i), f[4]), At: s.now.Add(-age)}}}
+		if err := s.hosts[f[1]].Import([]Record{h.record(partPrints(f[2])[0], s.now)}, s.now); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
 func requestPrint(name string) Fingerprint { return NewFingerprint(name, "m", nil) }
 
 func partPrints(list string) []Fingerprint {
--- a/internal/crash/suspect.go
+++ b/internal/crash/suspect.go
@@ -74,7 +74,7 @@
 func (t *Tracker) withCrash(p Fingerprint, h History, depth int, c Crash) History {
 	added := History{Crashes: []Crash{c}, Depth: depth}
 	added.Survived, _ = t.survived.Peek(p)
-	return Merge(h, added).trim()
+	return Merge(h, added).trimPart()
 }
 
 // recordSurvival records that a target has answered a request with the parts.
@@ -99,7 +99,7 @@
 	if own, ok := t.survived.Peek(r.Print); ok && own.After(received.Survived) {
 		received.Survived = own
 	}
-	t.storePart(r.Print, Merge(t.parts[r.Print], received).trim(), now)
+	t.storePart(r.Print, Merge(t.parts[r.Print], received).trimPart(), now)
 }
 
 // storePart stores the history of a part. Above the limit it evicts the one with the
