Name the quarantined part, its crashes and a target's limit in the log

A refused request's line names the part, the number of crashes and the age of the last one; the line of a placement names the limit of its target. Counters quarantined and cancelled.

--- a/internal/crash/history.go
+++ b/internal/crash/history.go
@@ -126,8 +126,12 @@
 	RetryAfter time.Duration
 	// TrialRunning reports that the request is refused because its trial is running.
 	TrialRunning bool
-	// Part reports that a part of the prompt is quarantined.
-	Part bool
+	// Part is the position of the quarantined part in the prompt, from 1; zero if the
+	// whole request is quarantined. Crashes are those that count for it, the last of them
+	// SinceCrash ago.
+	Part       int
+	Crashes    int
+	SinceCrash time.Duration
 }
 
 func (Run) decision()     {}
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -36,23 +36,30 @@
 
 // verdicts are the parts that may not run, or only one request at a time.
 type verdicts struct {
-	quarantined map[Fingerprint]time.Time // by part, the time of its last crash
+	quarantined map[Fingerprint]evidence
 	suspected   map[Fingerprint]bool
 }
 
+// evidence is the number of crashes that count for a part, and the time of the last one.
+type evidence struct {
+	crashes int
+	last    time.Time
+}
+
 // judge finds the parts that cause crashes. A part is quarantined if it was in a request
 // that was about to start at each of several crashes, and no target has survived it
 // since the first of them. Crashes that a quarantined part explains do not count for
 // other parts: those were in flight beside it.
 func judge(parts map[Fingerprint]History, now time.Time) verdicts {
-	v := verdicts{quarantined: map[Fingerprint]time.Time{}, suspected: map[Fingerprint]bool{}}
+	v := verdicts{quarantined: map[Fingerprint]evidence{}, suspected: map[Fingerprint]bool{}}
 	var explained []Crash
 	for len(v.quarantined) < maxQuarantinedParts {
 		p, ok := strongest(parts, v, explained, now)
 		if !ok {
 			break
 		}
-		_, v.quarantined[p] = parts[p].partCrashes(explained, now)
+		n, last := parts[p].partCrashes(explained, now)
+		v.quarantined[p] = evidence{crashes: n, last: last}
 		explained = append(explained, parts[p].Crashes...)
 	}
 	for p, h := range parts {
--- a/internal/crash/random_test.go
+++ b/internal/crash/random_test.go
@@ -127,7 +127,7 @@
 		case Wait:
 			f.after(20*time.Millisecond, func() { f.attempt(a, tries) })
 		case Refuse:
-			if d.Part {
+			if d.Part > 0 {
 				f.refusedParts++
 			} else {
 				f.refusedRequests++
--- a/internal/crash/suspect.go
+++ b/internal/crash/suspect.go
@@ -15,12 +15,14 @@
 	}
 	t.judge(now)
 	var d Decision = Run{}
-	for _, p := range limitParts(parts) {
-		last, quarantined := t.verdicts.quarantined[p]
-		switch end := last.Add(partQuarantine + t.trialDelay); {
+	for i, p := range limitParts(parts) {
+		found, quarantined := t.verdicts.quarantined[p]
+		switch end := found.last.Add(partQuarantine + t.trialDelay); {
 		case quarantined && now.Before(end):
 			return Refuse{
-				Reason: "targets crashed while running requests with one part of this prompt", RetryAfter: max(t.spread, end.Sub(now)), Part: true,
+				Reason:     "targets crashed while running requests with one part of this prompt",
+				RetryAfter: max(t.spread, end.Sub(now)),
+				Part:       i + 1, Crashes: found.crashes, SinceCrash: now.Sub(found.last),
 			}
 		case !quarantined && !t.verdicts.suspected[p]:
 		case t.parts[p].trialRunning(now, partTrialTimeout):
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -56,8 +56,10 @@
 	id          string
 	streamState retry.Stream
 	emitted     []uint32
-	// firstTokenAt is when the first token of the current attempt arrived.
+	// firstTokenAt is when the first token of the current attempt arrived. answered is
+	// true once its engine has survived it for survivalTime.
 	firstTokenAt time.Time
+	answered     bool
 	// reattached is true if this attempt was resumed at the same engine since the
 	// last token.
 	reattached bool
@@ -140,7 +142,8 @@
 	switch now := time.Now(); {
 	case r.firstTokenAt.IsZero():
 		r.firstTokenAt = now
-	case !r.remote && now.Sub(r.firstTokenAt) >= survivalTime:
+	case !r.remote && !r.answered && now.Sub(r.firstTokenAt) >= survivalTime:
+		r.answered = true
 		r.host.crashes.Answered(r.attempt, now)
 	}
 }
@@ -199,7 +202,7 @@
 	counters.Add("runs_moved", 1)
 	r.stream, r.target, r.attempt, r.id = n.stream, n.target, n.attempt, n.id
 	r.streamState, r.remote, r.region, r.reattached = n.streamState, n.remote, n.region, false
-	r.firstTokenAt = time.Time{}
+	r.firstTokenAt, r.answered = time.Time{}, false
 	return nil
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -105,6 +105,7 @@
 // quarantinedResult returns the result of an attempt that was cancelled because a part of
 // its prompt was quarantined.
 func (p *Proxy) quarantinedResult(j *job, c reservation) attemptResult {
+	p.Metrics.Count("cancelled")
 	j.log.Info("attempt cancelled: a part of its prompt is quarantined", zap.String("target", c.ID), zap.Strings("parts", sharedPartIDs(j.Prompt)))
 	r, ok := p.crashes.Admit(j.fingerprint, time.Now(), j.parts...).(crash.Refuse)
 	if !ok {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -149,6 +149,9 @@
 		zap.Int("calls", k.Calls), zap.Int("tokens", k.Tokens), zap.Int("unread", k.Unread), zap.Float64("fetching", k.FetchingMs), zap.Float64("fetchms", k.FetchMs), zap.Float64("risk", k.Risk),
 		zap.Uint64("site", j.config.Version), zap.Int64("left", (j.deadline - wire.BootTime()).Milliseconds()),
 	}
+	if c.RateLimit != fleet.Unlimited {
+		fields = append(fields, zap.Float64("limit", c.RateLimit))
+	}
 	if c.plan != nil {
 		w := promptWork(j.Prompt)
 		fields = append(
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -226,9 +226,13 @@
 // delay lasts until the end of the quarantine.
 func (p *Proxy) refuseQuarantined(j *job, r crash.Refuse) {
 	reason := "earlier runs of this request crashed their targets"
-	if r.Part {
+	if r.Part > 0 {
 		reason = r.Reason
-		j.log.Info("a part of the prompt is quarantined", zap.Strings("parts", sharedPartIDs(j.Prompt)))
+		p.Metrics.Count("quarantined")
+		j.log.Info(
+			"a part of the prompt is quarantined", zap.String("part", j.Prompt.Parts[r.Part-1].ID),
+			zap.Int("crashes", r.Crashes), zap.Int64("sincecrash", r.SinceCrash.Milliseconds()),
+		)
 	}
 	p.refuse(j, reason, r.RetryAfter)
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -31,7 +31,7 @@
 	reserved := 0
 	defer func() { p.pool.Release(reserved) }()
 	chunk := make([]byte, readChunkBytes)
-	awaitingFirst := true
+	awaitingFirst, answered := true, false
 	for {
 		n, err := resp.Body.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
@@ -54,7 +54,8 @@
 					p.planner.RecordFetch(c.plan.Fetch, c.plan.FetchMs, wire.BootTime()-c.sent)
 				}
 			}
-			if j.eventsSince(c.sent) >= survivalTime {
+			if !answered && j.eventsSince(c.sent) >= survivalTime {
+				answered = true
 				p.crashes.Answered(c.id, time.Now())
 			}
 			if !p.forwardEvents(j, r, buffered[:end+len(eventDelimiter)]) {
