Judge only parts with enough crashes

The verdicts on 512 parts with one crash each took several rounds over all of them. Parts whose crashes cannot reach the number that quarantines them are left out, and parts that a target has survived since. No change of behaviour.

--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -53,8 +53,14 @@
 func judge(parts map[Fingerprint]History, now time.Time) verdicts {
 	v := verdicts{quarantined: map[Fingerprint]evidence{}, suspected: map[Fingerprint]bool{}}
 	var explained []Crash
+	candidates := map[Fingerprint]History{}
+	for p, h := range parts {
+		if n, _ := h.partCrashes(nil, now); n >= h.quarantineAt() {
+			candidates[p] = h
+		}
+	}
 	for len(v.quarantined) < maxQuarantinedParts {
-		p, ok := strongest(parts, v, explained, now)
+		p, ok := strongest(candidates, v, explained, now)
 		if !ok {
 			break
 		}
@@ -128,7 +134,10 @@
 // partCrashes returns the number of crashes that count for a part, and the time of the
 // last of them: those since a target has survived it that no other part explains.
 func (h History) partCrashes(explained []Crash, now time.Time) (n int, last time.Time) {
-	var at []time.Time
+	if !h.lastCrash().After(h.Survived) {
+		return 0, time.Time{}
+	}
+	at := make([]time.Time, 0, maxStoredCrashes)
 	for _, c := range h.Crashes {
 		counts := c.At.After(h.Survived) && now.Sub(c.At) < partRetention
 		if counts && !h.isDuplicate(c) && !slices.ContainsFunc(explained, c.isSameCrash) {
