Split the crash tracker by job; hold an attempt that may not run any more

An attempt whose part was condemned between its admission and its reservation was sent without being tracked; it now waits for the next dispatch, which refuses it.

--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -1,7 +1,6 @@
 package crash
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -162,42 +161,44 @@
 // Begin records an attempt immediately before it is sent. It returns false if the
 // request must not run, or not on this target.
 func (t *Tracker) Begin(p Fingerprint, attempt, target string, now time.Time, parts ...Fingerprint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	whole := false
-	switch t.decide(p, parts, now).(type) {
-	case Refuse, Wait:
-		return false
-	case Isolate:
-		whole = Decide(t.unexplained(t.histories[p], now), now, t.spread) != (Run{})
-		if whole && t.targetsWithSuspects(p, now)[target] {
-			return false
-		}
-	}
-	if whole {
-		h := t.histories[p]
-		h.Trial = Trial{ID: attemptID(attempt, target), Target: target, At: now}
-		t.histories[p] = h
-		t.recordOwnChange(p, now)
-	}
-	t.startPartTrials(parts, attempt, target, now)
-	t.inFlight[attempt] = inFlightAttempt{print: p, parts: limitParts(parts), target: target}
-	return true
+	return t.begin(inFlightAttempt{print: p, parts: limitParts(parts), target: target}, attempt, now)
 }
 
 // BeginShared is like Begin, but allows the attempt on a target that runs other
 // suspects. A crash then says nothing about the whole request.
 func (t *Tracker) BeginShared(p Fingerprint, attempt, target string, now time.Time, parts ...Fingerprint) bool {
-	if t.Begin(p, attempt, target, now, parts...) {
+	f := inFlightAttempt{print: p, parts: limitParts(parts), target: target}
+	if t.begin(f, attempt, now) {
 		return true
 	}
+	f.shared = true
+	return t.begin(f, attempt, now)
+}
+
+func (t *Tracker) begin(f inFlightAttempt, attempt string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, ok := t.decide(p, parts, now).(Isolate); !ok {
+	switch t.decideParts(f.parts, now).(type) {
+	case Refuse, Wait:
+		return false
+	}
+	h := t.histories[f.print]
+	switch Decide(t.unexplained(h, now), now, t.spread).(type) {
+	case Refuse:
 		return false
+	case Isolate:
+		if f.shared {
+			break
+		}
+		if t.targetsWithSuspects(f.print, now)[f.target] {
+			return false
+		}
+		h.Trial = Trial{ID: attemptID(attempt, f.target), Target: f.target, At: now}
+		t.histories[f.print] = h
+		t.recordOwnChange(f.print, now)
 	}
-	t.startPartTrials(parts, attempt, target, now)
-	t.inFlight[attempt] = inFlightAttempt{print: p, parts: limitParts(parts), target: target, shared: true}
+	t.startPartTrials(f, attempt, now)
+	t.inFlight[attempt] = f
 	return true
 }
 
@@ -291,15 +292,6 @@
 	return busy
 }
 
-// Get returns the record of a fingerprint, to be sent along with a request that is
-// forwarded to another region.
-func (t *Tracker) Get(p Fingerprint, now time.Time) (Record, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h, ok := t.histories[p]
-	return h.record(p, now), ok
-}
-
 // recordOwnChange records that this host itself has changed a history, and reports the
 // change.
 func (t *Tracker) recordOwnChange(p Fingerprint, now time.Time) {
@@ -318,106 +310,6 @@
 	delete(t.ownChanges, p)
 }
 
-// Export returns at most limit records for a heartbeat. Half of them are the
-// newest, those of a recent second crash before all others, as other hosts have to
-// refuse their requests. The others are chosen in rotation so that every record
-// reaches every host.
-func (t *Tracker) Export(limit int, now time.Time) []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	return t.sample(limit, now, func(Fingerprint) bool { return true })
-}
-
-// ExportOwn returns at most limit of the records that this host itself has changed
-// within a period. It chooses among them as Export does.
-func (t *Tracker) ExportOwn(limit int, period time.Duration, now time.Time) []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sample(limit, now, func(p Fingerprint) bool {
-		at, ok := t.ownChanges[p]
-		return ok && now.Sub(at) < period
-	})
-}
-
-// exportKey orders the records that may be exported.
-type exportKey struct {
-	print Fingerprint
-	rank  int
-	last  time.Time
-}
-
-// sample returns at most limit of the records that match: half of them by rank and
-// age, the others in rotation. The caller holds mu.
-func (t *Tracker) sample(limit int, now time.Time, matches func(Fingerprint) bool) []Record {
-	var all []exportKey
-	for _, histories := range []map[Fingerprint]History{t.parts, t.histories} {
-		for p, h := range histories {
-			if matches(p) {
-				all = append(all, exportKey{print: p, rank: h.exportRank(now, t.spread), last: h.lastCrash()})
-			}
-		}
-	}
-	slices.SortFunc(all, func(a, b exportKey) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), b.last.Compare(a.last), slices.Compare(a.print[:], b.print[:]))
-	})
-	if len(all) > limit {
-		older := all[limit/2:]
-		all = all[: limit/2 : limit/2]
-		for range limit - limit/2 {
-			t.nextExport++
-			all = append(all, older[t.nextExport%len(older)])
-		}
-	}
-	out := make([]Record, 0, len(all))
-	for _, k := range all {
-		out = append(out, t.history(k.print).record(k.print, now))
-	}
-	return out
-}
-
-// history returns the history of a request or of a part.
-func (t *Tracker) history(p Fingerprint) History {
-	if h, ok := t.parts[p]; ok {
-		return h
-	}
-	return t.histories[p]
-}
-
-// exportRank is lower for histories that other hosts need sooner: those of requests and
-// parts that have crashed more than one target, the last one within a period, and then
-// those that a target has crashed under before it answered.
-func (h History) exportRank(now time.Time, period time.Duration) int {
-	switch {
-	case len(h.Crashes) > 1 && now.Sub(h.lastCrash()) < period:
-		return 0
-	case slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.Late }):
-		return 2
-	}
-	return 1
-}
-
-// Import merges the records of another host. It skips invalid records and returns
-// the error of the last one.
-func (t *Tracker) Import(records []Record, now time.Time) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var err error
-	for _, r := range records {
-		if invalid := r.Check(); invalid != nil {
-			err = invalid
-			continue
-		}
-		if r.Depth > 0 {
-			t.importPart(r, now)
-			continue
-		}
-		t.store(r.Print, Merge(t.histories[r.Print], r.history(now)).trim(), now)
-	}
-	t.cancelQuarantined(now)
-	return err
-}
-
 // Stats returns the current numbers of histories and attempts.
 func (t *Tracker) Stats(now time.Time) Stats {
 	t.mu.Lock()
@@ -438,9 +330,7 @@
 	return s
 }
 
-// store stores the history of a fingerprint. Above the limit it evicts the history
-// with the fewest crashes that count, and among these the one whose latest crash is
-// the oldest.
+// store stores the history of a request, and evicts the weakest above the limit.
 func (t *Tracker) store(p Fingerprint, h History, now time.Time) {
 	if now.Sub(h.lastCrash()) >= crashRetention {
 		t.forget(p)
@@ -452,16 +342,26 @@
 	}
 	t.expire(now)
 	for len(t.histories) > t.limit {
-		var evicted Fingerprint
-		fewest, oldest := maxStoredCrashes+1, now
-		for q, f := range t.histories {
-			n, _, _ := f.activeCrashes(now)
-			if n < fewest || n == fewest && f.lastCrash().Before(oldest) {
-				evicted, fewest, oldest = q, n, f.lastCrash()
-			}
+		t.forget(weakest(t.histories, func(h History) int {
+			n, _, _ := h.activeCrashes(now)
+			return n
+		}))
+	}
+}
+
+// weakest returns the history with the fewest crashes that count, and among these the one
+// whose latest crash is the oldest.
+func weakest(histories map[Fingerprint]History, count func(History) int) Fingerprint {
+	var found Fingerprint
+	var oldest time.Time
+	fewest := maxStoredCrashes + 1
+	for p, h := range histories {
+		n, last := count(h), h.lastCrash()
+		if n < fewest || n == fewest && last.Before(oldest) {
+			found, fewest, oldest = p, n, last
 		}
-		t.forget(evicted)
 	}
+	return found
 }
 
 // expire drops the histories whose crashes no longer count.
--- a/internal/crash/suspect.go
+++ b/internal/crash/trackerparts.go
@@ -35,14 +35,14 @@
 }
 
 // startPartTrials records an attempt as the trial of those of its parts that need one.
-func (t *Tracker) startPartTrials(parts []Fingerprint, attempt, target string, now time.Time) {
-	for _, p := range limitParts(parts) {
+func (t *Tracker) startPartTrials(f inFlightAttempt, attempt string, now time.Time) {
+	for _, p := range f.parts {
 		_, quarantined := t.verdicts.quarantined[p]
 		if !quarantined && !t.verdicts.suspected[p] {
 			continue
 		}
 		h := t.parts[p]
-		h.Trial = Trial{ID: attemptID(attempt, target), Target: target, At: now}
+		h.Trial = Trial{ID: attemptID(attempt, f.target), Target: f.target, At: now}
 		t.parts[p] = h
 		t.recordOwnChange(p, now)
 	}
@@ -104,8 +104,7 @@
 	t.storePart(r.Print, Merge(t.parts[r.Print], received).trimPart(), now)
 }
 
-// storePart stores the history of a part. Above the limit it evicts the one with the
-// fewest crashes that count, and among these the one whose latest crash is the oldest.
+// storePart stores the history of a part, and evicts the weakest above the limit.
 func (t *Tracker) storePart(p Fingerprint, h History, now time.Time) {
 	t.changed = true
 	t.parts[p] = h
@@ -114,15 +113,10 @@
 	}
 	t.expire(now)
 	for len(t.parts) > maxSuspectParts {
-		var evicted Fingerprint
-		fewest, oldest := maxStoredCrashes+1, now
-		for q, g := range t.parts {
-			n, _ := g.partCrashes(nil, now)
-			if n < fewest || n == fewest && g.lastCrash().Before(oldest) {
-				evicted, fewest, oldest = q, n, g.lastCrash()
-			}
-		}
-		t.forget(evicted)
+		t.forget(weakest(t.parts, func(h History) int {
+			n, _ := h.partCrashes(nil, now)
+			return n
+		}))
 	}
 }
 
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -29,12 +29,15 @@
 	sent time.Duration
 }
 
-// reserve registers an attempt at a target and plans its use of the KV cache. After
-// many targets have crashed there can be more suspect requests than targets to test
-// them alone, so that an attempt may run beside other suspects.
-func (p *Proxy) reserve(j *job, s fleet.Status, c place.Candidate, candidates int) reservation {
+// reserve registers an attempt at a target and plans its use of the KV cache. It returns
+// false if the request must not run any more. After many targets have crashed there can
+// be more suspect requests than targets to test them alone, so that an attempt may run
+// beside other suspects.
+func (p *Proxy) reserve(j *job, s fleet.Status, c place.Candidate, candidates int) (reservation, bool) {
 	chosen := reservation{Status: s, id: j.ID + "/" + s.ID, sent: wire.BootTime()}
-	p.crashes.BeginShared(j.fingerprint, chosen.id, s.ID, time.Now(), j.parts...)
+	if !p.crashes.BeginShared(j.fingerprint, chosen.id, s.ID, time.Now(), j.parts...) {
+		return reservation{}, false
+	}
 	load := fleet.InFlight{}
 	if j.Prompt != nil {
 		version := s.Versions[j.Prompt.Model]
@@ -58,7 +61,7 @@
 	p.takeRate(s.ID)
 	chosen.attempt = p.fleet.Begin(s.ID, load)
 	p.logPlacement(j, chosen, c, candidates)
-	return chosen
+	return chosen, true
 }
 
 // pickCandidate applies the placement policy to the candidates.
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -254,7 +254,12 @@
 	}
 	switch best := p.pickCandidate(j, cs).(type) {
 	case place.Selected:
-		return granted{p.reserve(j, eligible[best.Index], cs[best.Index], len(cs))}
+		chosen, ok := p.reserve(j, eligible[best.Index], cs[best.Index], len(cs))
+		if !ok {
+			p.DispatchSoon() // the next dispatch finds out why
+			return nil
+		}
+		return granted{chosen}
 	case place.Full:
 		return nil
 	}
