--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -59,8 +59,8 @@
 	// connection, or another host reported so.
 	Down bool `json:"down"`
 	// RateLimit is the number of requests a second that the target takes from all hosts
-	// together; Unlimited if it names none.
-	RateLimit float64 `json:"limit"`
+	// together; Unlimited if it names none. The log names its changes.
+	RateLimit float64 `json:"-"`
 }
 
 // Change is a change of the host's view of one target.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -85,9 +85,9 @@
 	return fleet.Peer
 }
 
-// recordSharedState records the unreachable targets and the rate limits in a message, the registration of
-// its sender, the crash records, the progress of the rollout and the desired weight
-// versions.
+// recordSharedState records the unreachable targets and the rate limits in a message, the
+// registration of its sender, the crash records, the progress of the rollout and the
+// desired weight versions.
 func (e *Exchange) recordSharedState(m Message) {
 	e.fleet.Suspect(m.Host, m.Unreachable)
 	e.fleet.RecordRemoteRateLimits(m.RateLimits)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -69,8 +69,9 @@
 func (p *Proxy) runAttempt(ctx context.Context, j *job, c reservation) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer c.attempt.End(fleet.Failed)                         // has no effect unless the code below panics
-	defer p.crashes.End(c.id, crash.Inconclusive, time.Now()) // likewise
+	// These have no effect unless the code below panics.
+	defer c.attempt.End(fleet.Failed)
+	defer p.crashes.End(c.id, crash.Inconclusive, time.Now())
 	p.crashes.CancelOnQuarantine(c.id, func() { cancel(errQuarantined) })
 	sent := wire.BootTime()
 	result, outcome := p.roundTrip(ctx, cancel, j, c)
