Give the paused engine's test time before its tokens end

The two tokens left now take 100 ms, and the test watches the paused engine for 250 ms in place of 40 ms, so that an engine that goes on is found as before.

--- a/internal/fakes/engine_test.go
+++ b/internal/fakes/engine_test.go
@@ -275,7 +275,7 @@
 
 	// Guards against a paused engine that generates tokens.
 	It("generates no tokens while it is paused and continues afterwards", func() {
-		e := newEngine(fakes.WithDecode(200))
+		e := newEngine(fakes.WithDecode(20))
 		s, err := e.Generate(ctx, request("a", "keeper", tokens(0, 5)))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = s.Next()
@@ -286,7 +286,7 @@
 			out, _, _ := collect(s)
 			done <- out
 		}()
-		Consistently(done, "40ms").ShouldNot(Receive())
+		Consistently(done, "250ms").ShouldNot(Receive())
 		e.Continue()
 		Eventually(done).Should(Receive(Equal(fakes.Answer(tokens(0, 5), 3)[1:])))
 	})
