--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -24,11 +24,11 @@
 // whose targets have not begun to answer are cancelled. The quarantine lasts for 10
 // minutes after the last crash; then one host starts one trial.
 //
-// History is the state of a fingerprint. Decide decides from it whether a request may
-// run, and judge which parts may not, without I/O and without a clock. Hosts exchange histories as
-// records. Merging them is independent of order and repetition. It never prolongs
-// a quarantine, because a record carries the ages of the crashes. Tracker holds a
-// bounded number of histories.
+// History is the state of a fingerprint. Decide decides from it whether a request
+// may run, and judge which parts may not, without I/O and without a clock. Hosts
+// exchange histories as records. Merging them is independent of order and
+// repetition. It never prolongs a quarantine, because a record carries the ages of
+// the crashes. Tracker holds a bounded number of histories.
 //
 // Once all hosts have received a record, a repeated request crashes no further
 // target. Refusals therefore carry a retry delay that exceeds the propagation
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -136,17 +136,11 @@
 	return t
 }
 
-// Admit decides whether a request may run. The parts are those of its prompt that
-// other requests may have in common, in order.
+// Admit decides whether a request may run, from the parts of its prompt first and then
+// from the whole. The parts are those that other requests may have in common, in order.
 func (t *Tracker) Admit(p Fingerprint, now time.Time, parts ...Fingerprint) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.decide(p, parts, now)
-}
-
-// decide decides from the parts of a request first, then from the whole. The caller
-// holds mu.
-func (t *Tracker) decide(p Fingerprint, parts []Fingerprint, now time.Time) Decision {
 	d := t.decideParts(parts, now)
 	switch d.(type) {
 	case Refuse, Wait:
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// RateLimits returns the limits that this host knows of, and those that have ended a
+// RateLimits returns the current limits, and those that have ended a
 // short time ago, by target.
 func (f *Fleet) RateLimits() map[string]RateLimit {
 	f.mu.Lock()
