Log the software version of targets and what a stream goes on with

The log could not tell streams that a host resumes from those that a client takes up again, nor the software versions of their targets: the entry's field and the client's header were not decoded. No change of logic.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -10,6 +10,8 @@
 	Zone    string `json:"zone"`
 	Slots   int    `json:"slots"`
 	Leaving bool   `json:"leaving"`
+	// Software is the version of the target's software; empty if its entry states none.
+	Software string `json:"software"`
 	// StartedAtMs is the start of the target in Unix milliseconds.
 	StartedAtMs int64 `json:"born"`
 	// WarmupLeft is how much longer the target stays slow after its start.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -9,6 +9,7 @@
 
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -152,6 +153,9 @@
 		zap.Int("calls", k.Calls), zap.Int("tokens", k.Tokens), zap.Int("unread", k.Unread), zap.Float64("fetching", k.FetchingMs), zap.Float64("fetchms", k.FetchMs), zap.Float64("risk", k.Risk),
 		zap.Uint64("site", j.config.Version), zap.Int64("left", (j.deadline - wire.BootTime()).Milliseconds()),
 	}
+	if j.route.Kind == opconf.Streaming {
+		fields = append(fields, zap.String("software", c.Software), zap.String("resumes", j.Resumes), zap.String("lastevent", j.order.lastID()))
+	}
 	if c.RateLimit != fleet.Unlimited {
 		fields = append(fields, zap.Float64("limit", c.RateLimit))
 	}
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -48,7 +48,10 @@
 	// LastEventID is the ID of the last event that the caller has received; empty
 	// at the start of a stream.
 	LastEventID string
-	Prompt      *Prompt
+	// Resumes is the ID of the caller's request that brought the first event of the
+	// stream that this request goes on with; empty if the caller named none.
+	Resumes string
+	Prompt  *Prompt
 	// Header holds the headers that are passed on unchanged.
 	Header http.Header
 	Body   []byte
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -291,7 +291,7 @@
 	}
 	h.log.Info(
 		"target "+c.Event, zap.String("target", c.Target.ID), zap.String("service", c.Target.Service),
-		zap.String("address", c.Target.Address), zap.String("zone", c.Target.Zone), zap.Int64("born", c.Target.StartedAtMs),
+		zap.String("address", c.Target.Address), zap.String("zone", c.Target.Zone), zap.Int64("born", c.Target.StartedAtMs), zap.String("software", c.Target.Software),
 		zap.Any("weights", c.Target.Versions),
 	)
 }
