Let streams go on only at the software version that began them

Callers saw streams with events of two software versions of a service: a host went on with a broken stream at any target, and a stream that a caller takes up again at another host went anywhere too, as the version of a target and the header that names the first request were not read. Class: two parts that must fit come from sources that need not agree, and nobody checks the seam.

A stream is bound to the software version of the target that sent its first events. Hosts remember the streams that they begin, and while a service has more than one version they send them to the other hosts, or to three owners by rendezvous where hosts are many. A host that does not know a stream queries its owners, and refuses the request as not run if nobody knows it. With one version nothing is sent. A version that appears gets new streams 1.5 s later, when all hosts have heard of it; until then no host can take it for the only one. Requests that go on with a stream are placed before new ones, as few targets may be left for them.

A simulation (rapid) of hosts that see versions late checks that none takes its only version for another's.

--- a/internal/gossip/check.go
+++ b/internal/gossip/check.go
@@ -30,7 +30,7 @@
 	switch {
 	case m.Host == "":
 		return errors.New("message has no host name; its sender must set one")
-	case m.Kind < Update || m.Kind > Reply:
+	case m.Kind < Update || m.Kind > Streams:
 		return errors.Errorf("message of host %q has unknown kind %d; run the same version on all hosts", m.Host, m.Kind)
 	}
 	if problem := m.outOfRange(); problem != "" {
@@ -59,6 +59,9 @@
 			return "a rate limit is out of range"
 		}
 	}
+	if problem := m.originsOutOfRange(); problem != "" {
+		return problem
+	}
 	return m.versionsOutOfRange()
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,7 @@
 
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/safego"
@@ -81,6 +82,10 @@
 	// Replaced are weight versions that were desired recently, before those in Desired, by
 	// model.
 	Replaced map[string][]DesiredVersion `cbor:"15,keyasint,omitempty"`
+	// Software are the software versions of the services that have more than one.
+	Software origin.Sightings `cbor:"21,keyasint,omitempty"`
+	// Begun are streams that began at the sender of a Streams message.
+	Begun []origin.Begun `cbor:"22,keyasint,omitempty"`
 	// Config is the version of the operator configuration in force at the sender; zero if
 	// it has none.
 	Config uint64 `cbor:"20,keyasint,omitempty"`
@@ -97,6 +102,8 @@
 	Query
 	// Reply holds what all other hosts have in flight.
 	Reply
+	// Streams holds streams that began at the sender. Older builds ignore it.
+	Streams
 )
 
 // DesiredVersion is a weight version that became the desired one.
@@ -176,6 +183,21 @@
 	RecordConfigVersion(peer string, version uint64)
 }
 
+// Origins holds the software versions that hosts have seen and the streams that began at
+// them.
+type Origins interface {
+	// Sightings returns the software versions of the services that have more than one.
+	Sightings() origin.Sightings
+	// RecordSightings records those in a message of another host, with the time since it
+	// was sent. The ages count from now.
+	RecordSightings(seen origin.Sightings, delay time.Duration)
+	// Outgoing waits for streams that have begun here, and returns them by the address
+	// of the host to which they are sent; nil after the end of ctx.
+	Outgoing(ctx context.Context) map[string][]origin.Begun
+	// RecordBegun records streams that began at another host.
+	RecordBegun(begun []origin.Begun)
+}
+
 // Exchange sends messages to other hosts and receives theirs.
 type Exchange struct {
 	address   string
@@ -189,6 +211,7 @@
 	crashes   Crashes
 	clock     *table.Clock
 	configs   Configs
+	origins   Origins
 	log       *zap.Logger
 
 	mu sync.Mutex
@@ -229,6 +252,9 @@
 // WithConfigs sets the record of the versions of the operator configuration at hosts.
 func WithConfigs(c Configs) Option { return func(e *Exchange) { e.configs = c } }
 
+// WithOrigins sets the record of the software versions that began streams.
+func WithOrigins(o Origins) Option { return func(e *Exchange) { e.origins = o } }
+
 // WithWeights sets the view of desired weight versions and of the rollout.
 func WithWeights(w Weights) Option { return func(e *Exchange) { e.weights = w } }
 
@@ -258,6 +284,9 @@
 	defer stop()
 	var senders sync.WaitGroup
 	senders.Go(func() { safego.KeepRunning(ctx, e.log, "hail", func() { e.send(ctx, conn) }) })
+	if e.origins != nil {
+		senders.Go(func() { safego.KeepRunning(ctx, e.log, "streams", func() { e.sendStreams(ctx, conn) }) })
+	}
 	defer senders.Wait()
 	defer cancel()
 	return e.receive(ctx, conn)
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -42,6 +42,10 @@
 	e.clock.RecordPeer(m.SentMs)
 	delay := e.delay(m)
 	m.addDelay(delay)
+	e.recordOrigins(m, delay)
+	if m.Kind == Streams {
+		return
+	}
 	if e.recordLoad(m, from, len(datagram)) {
 		e.recordSharedState(m, delay)
 		e.recordConfig(m, from)
@@ -84,6 +88,11 @@
 		v.AgeMs += ms
 		m.Desired[model] = v
 	}
+	for _, versions := range m.Software {
+		for software := range versions {
+			versions[software] += ms
+		}
+	}
 	for target, l := range m.RateLimits {
 		l.AgeMs += ms
 		m.RateLimits[target] = l
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -149,6 +149,9 @@
 	m := Message{Host: e.host, Kind: k, Unreachable: e.fleet.Unreachable(), RateLimits: e.fleet.RateLimits()}
 	m.Registered = e.roster != nil && e.roster.Registered()
 	m.Crashes = e.crashRecords(k)
+	if e.origins != nil {
+		m.Software = e.origins.Sightings()
+	}
 	if e.configs != nil {
 		m.Config = e.configs.ConfigVersion()
 	}
--- a/internal/opconf/config.go
+++ b/internal/opconf/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -70,6 +71,11 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that one engine runs at once.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -180,6 +182,7 @@
 	probedAt := started
 	limit := max(stallLatencyFactor*j.route.LatencyTarget, 2*noDataLimit)
 	ctx, stop := context.WithCancel(ctx)
+	alternatives := p.alternativesTo(j, c)
 	go safego.Do(j.log, "stall watch", func() {
 		idle := time.Duration(0)
 		for pause.For(ctx, max(noDataLimit-idle, stallCheckInterval)) == nil {
@@ -193,7 +196,7 @@
 				unreachable = !p.reachable(ctx, c.Address)
 			}
 			stalled := lastEvent >= started && idle > max(stallGapFactor*j.route.MaxGap, noDataLimit) && c.attempt.NoDataFor(noDataLimit)
-			if unreachable || stalled || idle > limit && c.attempt.QueueEmpty() {
+			if (unreachable || stalled || idle > limit && c.attempt.QueueEmpty()) && alternatives(lastEvent >= started) {
 				cancel(errTargetStalled)
 				return
 			}
@@ -202,6 +205,22 @@
 	return stop
 }
 
+// alternativesTo returns a function that reports whether another target may go on with a
+// stream, by whether this one has begun it. A stream whose software version serves
+// nowhere else had better wait for a target that is silent.
+func (p *Proxy) alternativesTo(j *job, c reservation) func(begun bool) bool {
+	service, before, excluded := j.service.Name, j.binding, maps.Clone(j.excluded)
+	return func(begun bool) bool {
+		b := before
+		if begun {
+			b = binding{software: c.Software, bound: true}
+		}
+		return !b.bound || slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
+			return s.ID != c.ID && !excluded[s.ID] && b.allows(s.Target)
+		})
+	}
+}
+
 // reachable reports whether a target accepts a connection. A host with only a few
 // calls at a target receives little data from it, which says nothing about the
 // state of the target.
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -65,6 +65,10 @@
 	attempts, deliveries int
 	// headerSent is set once the caller has received the header of a response.
 	headerSent bool
+	// binding is the software version at which the stream has to go on, and begun says
+	// that the caller gets events of it.
+	binding binding
+	begun   bool
 	// order checks the events that are sent to the caller.
 	order eventOrder
 	// queueTime is the time spent waiting for capacity, firstEventAfter the time
@@ -196,6 +200,10 @@
 		p.refuseQuarantined(j, refuse)
 		return
 	}
+	if !p.bindToOrigin(ctx, j) {
+		p.refuse(j, "no host knows which software version began the stream", p.retryAfter(j))
+		return
+	}
 	for {
 		if j.deliveries >= maxDeliveries {
 			p.giveUp(j, "too many targets did not run the request")
@@ -207,7 +215,7 @@
 		}
 		switch v := p.acquire(ctx, j).(type) {
 		case noTarget:
-			p.giveUp(j, "no remaining target of the service can take the request")
+			p.giveUp(j, j.noTargetReason())
 			return
 		case waitExpired:
 			p.queueTimedOut(ctx, j, v.queueTime)
@@ -225,6 +233,14 @@
 	}
 }
 
+// noTargetReason says why no target can take a request.
+func (j *job) noTargetReason() string {
+	if j.binding.bound {
+		return "no remaining target with the software version that began the stream can take the request"
+	}
+	return "no remaining target of the service can take the request"
+}
+
 // refuseQuarantined answers a request that has not run and would crash its target. The
 // delay lasts until the end of the quarantine.
 func (p *Proxy) refuseQuarantined(j *job, r crash.Refuse) {
--- /dev/null
+++ b/internal/proxy/origin.go
@@ -0,0 +1,142 @@
+package proxy
+
+import (
+	"context"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/opconf"
+	"sesamehill.example/sesamehill/internal/origin"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+// Origins knows which software version began each stream. A stream may go on only at that
+// version.
+type Origins interface {
+	// Begin records that a request brings the first events of a stream, or goes on with
+	// one of that origin.
+	Begin(request string, o origin.Origin)
+	// Find looks for the origin of a stream of a service, which a request began.
+	Find(ctx context.Context, service, request string) OriginResult
+	// Settling returns the versions of a service that get no new streams yet.
+	Settling(service string) map[string]bool
+}
+
+// OriginResult is the result of a search for the origin of a stream: OriginFound,
+// OriginAny or OriginUnknown.
+type OriginResult interface{ originResult() }
+
+// OriginFound carries the origin of a stream.
+type OriginFound struct{ origin.Origin }
+
+// OriginAny says that the service has only one software version.
+type OriginAny struct{}
+
+// OriginUnknown says that the service has more than one software version and that no host
+// knows which of them began the stream.
+type OriginUnknown struct{}
+
+func (OriginFound) originResult()   {}
+func (OriginAny) originResult()     {}
+func (OriginUnknown) originResult() {}
+
+// binding is the software version at which a stream has to go on. The zero value binds it
+// to none.
+type binding struct {
+	software string
+	bound    bool
+}
+
+// allows reports whether a stream may go on at a target.
+func (b binding) allows(t *fleet.Target) bool { return !b.bound || b.software == t.Software }
+
+// continues reports whether the caller already has events of the stream.
+func (j *job) continues() bool {
+	if j.route.Kind != opconf.Streaming {
+		return false
+	}
+	_, err := strconv.ParseInt(j.LastEventID, 10, 64)
+	return err == nil || j.Resumes != ""
+}
+
+// bindToOrigin binds a request that takes up a stream to the software version that began
+// it. It returns false if that version is unknown.
+func (p *Proxy) bindToOrigin(ctx context.Context, j *job) bool {
+	if !j.continues() {
+		return true
+	}
+	started := wire.BootTime()
+	result := p.origins.Find(ctx, j.service.Name, j.Resumes)
+	found, known := result.(OriginFound)
+	_, unknown := result.(OriginUnknown)
+	if known {
+		j.bindTo(found.Origin)
+	}
+	p.Metrics.Count("taken up")
+	j.log.Info(
+		"stream taken up", zap.String("resumes", j.Resumes), zap.String("lastevent", j.LastEventID), zap.String("service", j.service.Name),
+		zap.Bool("known", known), zap.Bool("refused", unknown), zap.String("software", found.Software),
+		zap.Int64("took", (wire.BootTime()-started).Milliseconds()),
+	)
+	return !unknown
+}
+
+// bindTo binds a request to an origin. If the route leads to the service of the origin
+// too, the request goes there. Another service did not begin the stream, so that its
+// versions do not matter.
+func (j *job) bindTo(o origin.Origin) {
+	if o.Service != j.service.Name {
+		s, ok := j.config.Service(o.Service)
+		if !ok || !j.route.LeadsTo(o.Service) {
+			return
+		}
+		j.service = s
+	}
+	j.binding = binding{software: o.Software, bound: true}
+}
+
+// recordBegin binds a stream to the target that sends its first events, and records its
+// origin before the caller gets them.
+func (p *Proxy) recordBegin(j *job, c reservation) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	j.binding = binding{software: c.Software, bound: true}
+	o := origin.Origin{Service: j.service.Name, Software: c.Software}
+	p.origins.Begin(j.ID, o)
+	if j.Resumes != "" {
+		p.origins.Begin(j.Resumes, o)
+	}
+}
+
+// preferSettled returns the targets whose software version may get new streams, or all
+// targets if no version may.
+func (p *Proxy) preferSettled(j *job, targets []fleet.Status) []fleet.Status {
+	if j.route.Kind != opconf.Streaming || j.binding.bound {
+		return targets
+	}
+	settling := p.origins.Settling(j.service.Name)
+	if len(settling) == 0 {
+		return targets
+	}
+	settled := make([]fleet.Status, 0, len(targets))
+	for _, s := range targets {
+		if !settling[s.Software] {
+			settled = append(settled, s)
+		}
+	}
+	if len(settled) == 0 {
+		return targets
+	}
+	return settled
+}
+
+// noOrigins is an Origins for services with one software version.
+type noOrigins struct{}
+
+func (noOrigins) Begin(string, origin.Origin)                       {}
+func (noOrigins) Find(context.Context, string, string) OriginResult { return OriginAny{} }
+func (noOrigins) Settling(string) map[string]bool                   { return nil }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,9 @@
 // WithCachePlanner sets the policy for fetching and saving KV cache entries.
 func WithCachePlanner(k CachePlanner) Option { return func(p *Proxy) { p.planner = k } }
 
+// WithOrigins sets the record of the software versions that began streams.
+func WithOrigins(o Origins) Option { return func(p *Proxy) { p.origins = o } }
+
 // WithLog sets the logger.
 func WithLog(l *zap.Logger) Option { return func(p *Proxy) { p.log = l } }
 
@@ -68,6 +71,7 @@
 	fleet     *fleet.Fleet
 	planner   CachePlanner
 	weights   WeightVersions
+	origins   Origins
 	crashes   *crash.Tracker
 	log       *zap.Logger
 	pool      *bound.Pool
@@ -109,7 +113,7 @@
 // New returns a proxy that answers 503 until it gets its first configuration.
 func New(c Codec, f *fleet.Fleet, opts ...Option) *Proxy {
 	p := &Proxy{
-		codec: c, fleet: f, log: zap.NewNop(), planner: noCachePlanner{}, weights: noWeightVersions{}, pool: bound.NewPool(defaultPoolBytes),
+		codec: c, fleet: f, log: zap.NewNop(), planner: noCachePlanner{}, weights: noWeightVersions{}, origins: noOrigins{}, pool: bound.NewPool(defaultPoolBytes),
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -68,7 +68,7 @@
 func (p *Proxy) acquire(ctx context.Context, j *job) waitOutcome {
 	j.costs = p.costs.For(p.hosts())
 	w := &waiter{job: j, result: make(chan waitOutcome, 1), item: queue.Item{
-		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Priority: j.priority(),
+		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Priority: j.priority(), First: j.binding.bound,
 	}}
 	if !p.enqueue(w) {
 		return waitExpired{}
@@ -191,7 +191,7 @@
 		return remaining // a stream that resumes after its deadline scores higher than a truncated one
 	}
 	limit := time.Duration(waitDeadlineShare * float64(remaining))
-	if j.route.LatencyTarget > 0 {
+	if j.route.LatencyTarget > 0 && !j.binding.bound {
 		limit = min(limit, time.Duration(waitLatencyFactor*float64(j.route.LatencyTarget)))
 	}
 	return limit
@@ -213,7 +213,7 @@
 	serving := p.fleet.Serving(j.service.Name)
 	targets = serving[:0]
 	for _, s := range serving {
-		if j.excluded[s.ID] || p.weights.Loading(s.ID) || p.outdated(j, s) {
+		if j.excluded[s.ID] || !j.binding.allows(s.Target) || p.weights.Loading(s.ID) || p.outdated(j, s) {
 			continue
 		}
 		if wait := p.rateWait(s); wait > 0 {
@@ -224,7 +224,7 @@
 		}
 		targets = append(targets, s)
 	}
-	return targets, limitedFor
+	return p.preferSettled(j, targets), limitedFor
 }
 
 // choose reserves a target with capacity. It returns noTarget if no target can take
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -30,6 +30,9 @@
 	LatencyTarget time.Duration
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority int
+	// First is set if the request goes on with a stream, for which few targets may be
+	// left. It comes before those without.
+	First bool
 }
 
 // Order returns the indexes of the items in the order in which they should be
@@ -47,6 +50,10 @@
 func compare(a, b Item, now time.Duration) int {
 	lateA, lateB := now > a.Arrived+a.LatencyTarget, now > b.Arrived+b.LatencyTarget
 	switch {
+	case a.First != b.First && a.First:
+		return -1
+	case a.First != b.First:
+		return 1
 	case lateA != lateB && lateB:
 		return -1
 	case lateA != lateB:
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -112,6 +112,7 @@
 	leasedTask   *leasedTask
 	members      *members
 	crashes      *crash.Tracker
+	origins      *streamOrigins
 	clock        *table.Clock
 	versions     *verlog.Log
 	versionRow   *versionRow
@@ -136,6 +137,7 @@
 	}
 	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged))
 	h.crashes = crash.New()
+	h.origins = newStreamOrigins(h)
 	h.catalog = kvcat.NewCatalog(s.Zones, kvcat.WithLog(h.log), kvcat.WithPermissions(h.allowKVTransfer))
 	h.stores = newStoreWatcher(h)
 	h.clock = p.Clock()
@@ -150,7 +152,7 @@
 	h.proxy = proxy.New(
 		p.Codec(), h.fleet, proxy.WithLog(h.log), proxy.WithAllowance(s.retryAllowance()),
 		proxy.WithDistance(s.distance), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
-		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog),
+		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog), proxy.WithOrigins(h.origins),
 		proxy.WithStaleLimit(s.staleWeightsLimit()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
 	)
 	h.leasedTask = newLeasedTask(h)
@@ -173,7 +175,7 @@
 	context.AfterFunc(ctx, func() { h.drain(stop) })
 	t := tree.New("host", tree.WithLog(h.log), tree.WithStopTimeout(time.Second))
 	t.Add("operator", feed.NewWatch(h.tables, h.platform.OperatorTable(), h.config, feed.WithOnSuccess(h.operatorTableRead)).Run)
-	t.Add("targets", feed.NewWatch(h.tables, h.platform.TargetTable(), h.targets, feed.WithInterval(h.listInterval)).Run)
+	t.Add("targets", feed.NewWatch(h.tables, h.platform.TargetTable(), h.targets, feed.WithInterval(h.listInterval), feed.WithOnSuccess(h.origins.recordListRead)).Run)
 	t.Add("hosts", feed.NewWatch(
 		h.tables, memberTable, h.members, feed.WithInterval(h.members.pollInterval), feed.WithOnSuccess(h.members.recordRead),
 	).Run)
@@ -190,7 +192,7 @@
 	t.Add("hail", gossip.New(
 		h.settings.Peer, h.settings.Name, h.fleet, h.members.topology, gossip.WithLog(h.log),
 		gossip.WithOnMessage(h.proxy.DispatchSoon), gossip.WithWeights(h), gossip.WithRoster(h.members), gossip.WithTables(h.tables),
-		gossip.WithCrashes(h.crashes), gossip.WithPlatformClock(h.clock), gossip.WithConfigs(h),
+		gossip.WithCrashes(h.crashes), gossip.WithPlatformClock(h.clock), gossip.WithConfigs(h), gossip.WithOrigins(h.origins),
 	).Run)
 	h.leasedTask.addComponents(t)
 	return errors.Trace(t.Run(componentCtx))
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -147,5 +147,6 @@
 	mux.HandleFunc("POST "+storesPath, h.serveStores)
 	mux.HandleFunc("POST "+tablePath, h.serveTable)
 	mux.HandleFunc("POST "+configPath, h.serveConfig)
+	mux.HandleFunc("POST "+originPath, h.serveOrigin)
 	return mux
 }
