run: continue a response only at engines of the software version that emitted it

An engine may state the version of its software in the platform's list and in its chunks; a host continues a response at engines of the same version only, refuses chunks of another, and an engine refuses tokens of another version as not run. Engines that state none are used as before. A caller that resumes a stream already goes to the engine that holds the run.

TestFailures/software_version before: both responses went on at an engine of another version; now at the one of the same version.

--- a/internal/fakes/engine_options.go
+++ b/internal/fakes/engine_options.go
@@ -27,6 +27,7 @@
 	crashOn             func(target.GenerateRequest) bool
 	stores              []*Store
 	linkTo              func(store string) *Link
+	software            string
 }
 
 func defaultEngineOptions() engineOptions {
@@ -54,6 +55,11 @@
 	return func(o *engineOptions) { o.cacheBlocks, o.blockTokens, o.blockBytes = blocks, tokens, bytes }
 }
 
+// WithSoftware sets the version of the engine's software.
+func WithSoftware(version string) EngineOption {
+	return func(o *engineOptions) { o.software = version }
+}
+
 // WithDecode sets the decode rate of each run in tokens per second.
 func WithDecode(rate float64) EngineOption {
 	return func(o *engineOptions) { o.decodeRate = rate }
--- a/internal/fakes/engine_run.go
+++ b/internal/fakes/engine_run.go
@@ -16,9 +16,11 @@
 // run is a run with the chunks of its answer so far.
 type run struct {
 	request target.GenerateRequest
-	arrival uint64
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// software is the version of the engine's software.
+	software string
+	arrival  uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu      sync.Mutex
 	chunks  []target.Chunk
@@ -141,6 +143,8 @@
 		reason = fmt.Sprintf("%d block keys need more than the %d tokens of the prompt", len(r.Keys), len(r.Tokens))
 	case !e.isLoaded(r):
 		reason = fmt.Sprintf("version %s of model %s is not loaded", r.Version, r.Model)
+	case r.Software != "" && r.Software != e.options.software:
+		reason = fmt.Sprintf("the tokens were emitted by software version %s", r.Software)
 	case len(e.waiting) >= e.options.maxWaiting:
 		reason = "the queue is full"
 	}
@@ -148,7 +152,7 @@
 		return nil, &target.NotRunError{Target: e.name, Reason: reason}
 	}
 	e.arrivals++
-	queued := &run{request: r, arrival: e.arrivals, updated: make(chan struct{})}
+	queued := &run{request: r, software: e.options.software, arrival: e.arrivals, updated: make(chan struct{})}
 	queued.ctx, queued.cancel = context.WithCancel(e.lifetime)
 	e.runs[r.Attempt] = queued
 	heap.Push(&e.waiting, queued)
@@ -288,7 +292,7 @@
 
 // emit appends a chunk to the answer, unless the run failed.
 func (r *run) emit(c target.Chunk) {
-	c.Attempt, c.Version = r.request.Attempt, r.request.Version
+	c.Attempt, c.Version, c.Software = r.request.Attempt, r.request.Version, r.software
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.failure != "" {
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -38,7 +38,7 @@
 	c, err := h.client.Handover(ctx, peer.Address, &member.HandoverRequest{
 		Request: target.GenerateRequest{
 			Attempt: newAttempt(), Account: q.account.Name, Model: q.namespace.Model, Version: q.namespace.Version,
-			Adapter: q.namespace.Adapter, Tokens: q.tokens, Keys: q.keys, Priority: q.priority, MaxTokens: q.max, Emitted: emitted,
+			Adapter: q.namespace.Adapter, Tokens: q.tokens, Keys: q.keys, Priority: q.priority, MaxTokens: q.max, Emitted: emitted, Software: q.software,
 		},
 		Revision: q.active.revision,
 		Left:     max(minRemaining, time.Until(q.startBy)),
@@ -65,7 +65,7 @@
 	return &run{
 		host: h, ctx: ctx, account: q.account.Name, request: q, stream: c, target: at, attempt: attempt,
 		id: c.Run, remote: true, region: region,
-		streamState: retry.Stream{Attempt: attempt, Version: q.namespace.Version, Next: len(emitted)},
+		streamState: retry.Stream{Attempt: attempt, Version: q.namespace.Version, Software: q.software, Next: len(emitted)},
 	}, nil
 }
 
@@ -130,6 +130,7 @@
 	} else {
 		q.chain()
 	}
+	q.software = g.Software
 	run, err := h.admitAndStart(s.Context(), q, g.Emitted)
 	if err != nil {
 		return s.Refuse(refusalOf(err))
--- a/internal/host/place.go
+++ b/internal/host/place.go
@@ -265,7 +265,7 @@
 // failure is only a hint, and a recovered engine must get work.
 func (h *Host) enginesFor(q *request, now time.Time) []targetView {
 	all := h.fleet.list(table.Engine, func(m *targetView) bool {
-		return m.listed.Region == h.settings.Region && h.fleet.isStaying(m) && stateAllowedAt(q, m.listed)
+		return m.listed.Region == h.settings.Region && h.fleet.isStaying(m) && stateAllowedAt(q, m.listed) && q.mayContinueAt(m.listed)
 	})
 	open := slices.DeleteFunc(slices.Clone(all), func(m targetView) bool { return now.Before(m.avoidUntil) })
 	if slices.ContainsFunc(open, q.servedBy) {
@@ -274,6 +274,11 @@
 	return all
 }
 
+// mayContinueAt reports whether a target may go on after the tokens emitted so far.
+func (q *request) mayContinueAt(t table.ListedTarget) bool {
+	return q.software == "" || q.software == t.Software
+}
+
 // servedBy reports whether an engine has loaded the request's weight version.
 func (q *request) servedBy(m targetView) bool {
 	return slices.ContainsFunc(m.report.Models, func(l target.Loaded) bool {
@@ -365,7 +370,7 @@
 	s, err := e.Generate(ctx, target.GenerateRequest{
 		Attempt: attempt, Account: q.account.Name, Model: q.namespace.Model, Version: q.namespace.Version,
 		Adapter: q.namespace.Adapter, Tokens: q.tokens, Keys: q.keys, Priority: q.priority,
-		MaxTokens: q.max, Emitted: emitted,
+		MaxTokens: q.max, Emitted: emitted, Software: q.software,
 	})
 	if err != nil {
 		s, err = h.recoverStart(ctx, q, e, name, attempt, len(emitted), err)
@@ -375,7 +380,7 @@
 	}
 	return &run{
 		host: h, ctx: ctx, account: q.account.Name, request: q, stream: s, target: name, attempt: attempt,
-		id: runID(attempt, name), streamState: retry.Stream{Attempt: attempt, Version: q.namespace.Version, Next: len(emitted)},
+		id: runID(attempt, name), streamState: retry.Stream{Attempt: attempt, Version: q.namespace.Version, Software: q.software, Next: len(emitted)},
 	}, nil
 }
 
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -132,6 +132,9 @@
 		r.host.measures.recordFirstToken(time.Since(r.request.arrived))
 	}
 	r.emitted = append(r.emitted, c.Token)
+	if r.request != nil {
+		r.request.software = r.streamState.Software
+	}
 	r.recordAnswered()
 	r.reattached = false
 }
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -50,8 +50,11 @@
 	// localOnly forbids forwarding, because another host forwarded the request or
 	// another region refused it.
 	localOnly bool
-	excluded  []string
-	random    *rand.Rand
+	// software is the version of the software of the engine that emitted the tokens so
+	// far; empty if there are none or it stated none.
+	software string
+	excluded []string
+	random   *rand.Rand
 }
 
 // versionUse returns the weight version of a request as weight.VersionName names it.
--- a/internal/host/world_test.go
+++ b/internal/host/world_test.go
@@ -119,6 +119,7 @@
 		}
 		opts = append(opts, fakes.WithCrash(func(r target.GenerateRequest) bool { return r.Tokens[0] == first[0] }))
 	}
+	opts = append(opts, fakes.WithSoftware(o["software"]))
 	return w.add(args, fakes.NewEngine(args[0], opts...), table.Engine, "")
 }
 
@@ -142,7 +143,7 @@
 	}
 	w.listing.Targets = append(w.listing.Targets, table.ListedTarget{
 		Name: args[0], Kind: k, Service: service, Region: w.zones[args[1]], Zone: args[1],
-		Address: f.Address(), State: table.Live, ChecksFencing: true,
+		Address: f.Address(), State: table.Live, ChecksFencing: true, Software: parseOptions(args[2:])["software"],
 	})
 	w.platform.SetList(w.listing)
 	return nil
--- a/internal/retry/stream.go
+++ b/internal/retry/stream.go
@@ -14,6 +14,9 @@
 type Stream struct {
 	Attempt string
 	Version string
+	// Software is the version of the software of the engine that emitted the tokens
+	// before Next; empty if there are none or it stated none.
+	Software string
 	// Next is the expected offset of the next token.
 	Next int
 	// Ended reports whether the end marker has been accepted.
@@ -63,6 +66,8 @@
 		return s.drop(fmt.Sprintf("chunk belongs to attempt %q", c.Attempt))
 	case c.Version != s.Version:
 		return s, s.reject("weight version is %q, want %q", c.Version, s.Version)
+	case s.Software != "" && c.Software != s.Software:
+		return s, s.reject("software version is %q, want %q", c.Software, s.Software)
 	case c.Offset > s.Next:
 		return s, s.reject("offset is %d, want %d", c.Offset, s.Next)
 	case s.Ended || c.Offset < s.Next && !c.Done:
@@ -74,6 +79,7 @@
 		return s, End{}
 	}
 	s.Next++
+	s.Software = c.Software
 	return s, Deliver{}
 }
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -81,6 +81,8 @@
 	Zone    string `json:"zone" cbor:"zone"`
 	// Service is the name of the plain service, for targets of that kind.
 	Service string `json:"service,omitempty" cbor:"service,omitempty"`
+	// Software is the version of the target's software; empty if it states none.
+	Software string `json:"software,omitempty" cbor:"software,omitempty"`
 	// ChecksFencing is set if the target rejects orders with an old fencing token.
 	ChecksFencing bool  `json:"fenced,omitempty" cbor:"fenced,omitempty"`
 	State         State `json:"state" cbor:"state"`
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -73,12 +73,17 @@
 	// Emitted are the tokens that an earlier attempt of the same run has
 	// already delivered. The run continues after them.
 	Emitted []uint32 `json:"emitted,omitempty" cbor:"emitted,omitempty"`
+	// Software is the version of the software that emitted them. An engine of another
+	// version does not continue the run; empty for any.
+	Software string `json:"software,omitempty" cbor:"software,omitempty"`
 }
 
 // Chunk is one event of a stream.
 type Chunk struct {
 	Attempt string `json:"attempt" cbor:"attempt"`
 	Version string `json:"version" cbor:"version"`
+	// Software is the version of the engine's software; empty if it states none.
+	Software string `json:"software,omitempty" cbor:"software,omitempty"`
 	// Offset is the index of the token in the output.
 	Offset int    `json:"offset" cbor:"offset"`
 	Token  uint32 `json:"token" cbor:"token"`
