Connect to targets through another host while a host has no path of its own

Class: a host's own view of a target decides alone, though others see it otherwise.

A host that cannot connect to most targets of a service opens tunnels to them through hosts that can, near ones first. Whether a target has crashed is asked through another host too. Only probes show that the own path is back. A cut host reports no targets as unreachable: with three of four hosts cut, the fourth avoided sound targets.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,6 +69,7 @@
 	// remote is the sum of the in-flight loads that the other hosts report.
 	remote InFlight
 	limit  observedLimit
+	relay  relayState
 }
 
 // Option changes a default of New.
@@ -87,8 +88,12 @@
 	mu       sync.Mutex
 	now      func() time.Duration
 	onChange func(Change)
-	targets  map[string]*state
-	services map[string][]*state
+	// relay reports whether another host may connect this one to targets.
+	relay func() bool
+	// isolation caches whether this host is cut off from a service.
+	isolation map[string]isolation
+	targets   map[string]*state
+	services  map[string][]*state
 	// remoteLoads holds the last load report of each other host, by host.
 	remoteLoads          map[string]remoteLoad
 	remoteLoadsCheckedAt time.Duration
@@ -100,7 +105,7 @@
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
+	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, relay: func() bool { return false }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
 	for _, o := range opts {
 		o(f)
 	}
@@ -370,6 +375,9 @@
 func (f *Fleet) status(s *state, now time.Duration) Status {
 	st := s.status(now)
 	st.OthersInFlight = f.othersInFlight(s, now)
+	if st.Relayed = f.relayed(s, now); st.Relayed {
+		st.Down = false
+	}
 	return st
 }
 
--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -118,7 +118,9 @@
 	switch o {
 	case Served:
 		s.updateFailureRate(0, now)
-		if s.connectFailures > 0 || s.suspected {
+		// A host that is cut off is served on connections that have lived on or lead through
+		// other hosts. Only probes show that new connections succeed again.
+		if (s.connectFailures > 0 || s.suspected) && !isolated(f.services[s.Service]) {
 			f.markReachable(s, now)
 		}
 	case Failed:
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -47,6 +47,9 @@
 	now := f.now()
 	for _, id := range ids {
 		s, ok := f.targets[id]
+		if ok {
+			s.relay.reportedAt = now
+		}
 		if !ok || s.down(now) || now-max(s.lastDataAt, s.connectedAt) < directEvidenceTTL {
 			continue
 		}
@@ -55,17 +58,26 @@
 	}
 }
 
-// Unreachable returns the targets to which this host itself failed to connect.
+// Unreachable returns the targets to which this host itself failed to connect; none if
+// those are most of all targets, as the host is then more likely cut off itself.
 func (f *Fleet) Unreachable() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	var ids []string
+	failed := 0
 	for id, s := range f.targets {
-		if s.connectFailures > 0 && s.down(now) {
+		if s.connectFailures == 0 {
+			continue
+		}
+		failed++
+		if s.down(now) {
 			ids = append(ids, id)
 		}
 	}
+	if float64(failed) > maxSuspectShare*float64(len(f.targets)) {
+		return nil
+	}
 	return ids
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -80,7 +80,7 @@
 	p.crashes.CancelOnQuarantine(c.id, func() { cancel(errQuarantined) })
 	sent := wire.BootTime()
 	result, outcome := p.roundTrip(ctx, cancel, j, c)
-	crashed := outcome == fleet.Failed && !p.reachable(context.WithoutCancel(ctx), c.Address)
+	crashed := outcome == fleet.Failed && p.unreachable(context.WithoutCancel(ctx), c)
 	if crashed {
 		c.attempt.End(fleet.Unreachable)
 	}
@@ -193,7 +193,7 @@
 				// The request may be queued there, or the engine may prefill other
 				// prompts.
 				probedAt = wire.BootTime()
-				unreachable = !p.reachable(ctx, c.Address)
+				unreachable = p.unreachable(ctx, c)
 			}
 			stalled := lastEvent >= started && idle > max(stallGapFactor*j.route.MaxGap, noDataLimit) && c.attempt.NoDataFor(noDataLimit)
 			if (unreachable || stalled || idle > limit && c.attempt.QueueEmpty()) && alternatives(lastEvent >= started) {
@@ -221,11 +221,11 @@
 	}
 }
 
-// reachable reports whether a target accepts a connection. A host with only a few
-// calls at a target receives little data from it, which says nothing about the
-// state of the target.
-func (p *Proxy) reachable(ctx context.Context, address string) bool {
-	return wire.CheckReachable(ctx, p.dialer, address) == nil || ctx.Err() != nil
+// unreachable reports whether a target accepts no connection. A host with only a few
+// calls at a target receives little data from it, which says nothing about the state of
+// the target.
+func (p *Proxy) unreachable(ctx context.Context, c reservation) bool {
+	return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Unreachable && ctx.Err() == nil
 }
 
 // handleSendError decides what follows an attempt that got no response.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +42,15 @@
 // WithCachePlanner sets the policy for fetching and saving KV cache entries.
 func WithCachePlanner(k CachePlanner) Option { return func(p *Proxy) { p.planner = k } }
 
+// WithPaths sets how targets are connected to.
+func WithPaths(paths Paths) Option {
+	return func(p *Proxy) {
+		p.paths = paths
+		p.pooledTransport = wire.NewTransport(wire.KeepAlive, wire.WithDialContext(paths.DialContext))
+		p.freshTransport = wire.NewTransport(wire.SingleUse, wire.WithDialContext(paths.DialContext))
+	}
+}
+
 // WithOrigins sets the record of the software versions that began streams.
 func WithOrigins(o Origins) Option { return func(p *Proxy) { p.origins = o } }
 
@@ -88,7 +96,7 @@
 	config           atomic.Pointer[opconf.Config]
 	pooledTransport  http.RoundTripper
 	freshTransport   http.RoundTripper
-	dialer           *net.Dialer
+	paths            Paths
 	closeConnections atomic.Bool
 	// Metrics holds the counters and latencies of the proxy.
 	Metrics *Metrics
@@ -118,7 +126,7 @@
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
 		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
-		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), dialer: wire.Dialer(),
+		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
 	}
 	p.SetPolicy(place.Cost)
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -24,6 +24,7 @@
 	"sesamehill.example/sesamehill/internal/roll"
 	"sesamehill.example/sesamehill/internal/table"
 	"sesamehill.example/sesamehill/internal/tree"
+	"sesamehill.example/sesamehill/internal/tunnel"
 	"sesamehill.example/sesamehill/internal/verlog"
 )
 
@@ -113,6 +114,8 @@
 	members      *members
 	crashes      *crash.Tracker
 	origins      *streamOrigins
+	paths        *pathFinder
+	tunnels      *tunnel.Server
 	clock        *table.Clock
 	versions     *verlog.Log
 	versionRow   *versionRow
@@ -135,7 +138,9 @@
 	for _, o := range opts {
 		o(h)
 	}
-	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged))
+	h.paths = newPathFinder(h)
+	h.tunnels = tunnel.NewServer(h.paths.connect)
+	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithRelay(h.paths.available))
 	h.crashes = crash.New()
 	h.origins = newStreamOrigins(h)
 	h.catalog = kvcat.NewCatalog(s.Zones, kvcat.WithLog(h.log), kvcat.WithPermissions(h.allowKVTransfer))
@@ -152,7 +157,7 @@
 	h.proxy = proxy.New(
 		p.Codec(), h.fleet, proxy.WithLog(h.log), proxy.WithAllowance(s.retryAllowance()),
 		proxy.WithDistance(s.distance), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
-		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog), proxy.WithOrigins(h.origins),
+		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog), proxy.WithOrigins(h.origins), proxy.WithPaths(h.paths),
 		proxy.WithStaleLimit(s.staleWeightsLimit()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
 	)
 	h.leasedTask = newLeasedTask(h)
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -232,17 +232,7 @@
 // ownersOf returns the addresses of the other hosts that remember a stream: all where
 // hosts are few.
 func (m *members) ownersOf(key origin.Key) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	own := m.host.settings.Name
-	var others []observedRow
-	for _, hosts := range m.currentView().rankedByRegion {
-		for _, h := range hosts {
-			if h.Host != own && h.Peer != "" {
-				others = append(others, h)
-			}
-		}
-	}
+	others := m.others()
 	if len(others) >= maxDirectHosts {
 		others = topOwners(others, key)
 	}
--- /dev/null
+++ b/internal/server/paths.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/proxy"
+	"sesamehill.example/sesamehill/internal/tunnel"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// maxTunnelTries is the number of hosts at which a tunnel to a target is tried.
+	maxTunnelTries = 3
+	// tunnelTimeout bounds one try. It covers a new connection between regions and one
+	// from there to the target, which is dialed for tunnelDialTimeout at most.
+	tunnelTimeout     = 350 * time.Millisecond
+	tunnelDialTimeout = 250 * time.Millisecond
+	// hostPause is the time for which a host is not asked for tunnels after it opened none.
+	hostPause = time.Second
+)
+
+// errNoTunnel says that no other host connects this one to a target.
+var errNoTunnel = errors.New("no other host connects this one to the target; send the request to another target")
+
+// pathFinder connects to targets, through another host while this one has no path of its
+// own.
+type pathFinder struct {
+	host   *Host
+	direct *net.Dialer
+
+	mu sync.Mutex
+	// pausedUntil is the boot time until which a host is not asked for tunnels, by name.
+	pausedUntil map[string]time.Duration
+}
+
+func newPathFinder(h *Host) *pathFinder {
+	return &pathFinder{host: h, direct: wire.Dialer(), pausedUntil: map[string]time.Duration{}}
+}
+
+// DialContext connects to the target at an address.
+func (p *pathFinder) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	target, relayed := p.host.fleet.RelayTarget(address)
+	if !relayed {
+		return p.direct.DialContext(ctx, network, address)
+	}
+	return p.dialThrough(ctx, target)
+}
+
+// Reach finds out whether a target accepts connections.
+func (p *pathFinder) Reach(ctx context.Context, service, target, address string) proxy.Reach {
+	err := wire.CheckReachable(ctx, p.direct, address)
+	switch {
+	case err == nil:
+		return proxy.Reachable
+	case !p.host.fleet.Isolated(service):
+		return proxy.Unreachable
+	}
+	conn, err := p.dialThrough(ctx, target)
+	var refused *tunnel.RefusedError
+	switch {
+	case err == nil:
+		_ = conn.Close() // an unused connection
+		return proxy.Reachable
+	case errors.As(err, &refused) && refused.TargetUnreachable():
+		return proxy.Unreachable
+	}
+	return proxy.ReachUnknown
+}
+
+// dialThrough connects to a target through another host.
+func (p *pathFinder) dialThrough(ctx context.Context, target string) (net.Conn, error) {
+	var err error = errNoTunnel
+	unreachable := 0
+	for _, h := range p.candidates(target) {
+		var conn net.Conn
+		if conn, err = p.tryHost(ctx, h.Peer, target); err == nil {
+			p.host.fleet.RecordRelay(target, true)
+			p.host.proxy.Metrics.Count("tunnel")
+			return conn, nil
+		}
+		p.host.proxy.Metrics.Count("tunnel refused")
+		var refused *tunnel.RefusedError
+		if errors.As(err, &refused) && refused.TargetUnreachable() {
+			if unreachable++; unreachable > 1 {
+				break
+			}
+			continue
+		}
+		p.pause(h.Host, err)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+	if unreachable > 0 {
+		p.host.fleet.RecordRelay(target, false)
+	}
+	return nil, err
+}
+
+// tryHost opens a tunnel at a host.
+func (p *pathFinder) tryHost(ctx context.Context, peer, target string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
+	defer cancel()
+	return tunnel.Dial(ctx, p.direct.DialContext, peer, target)
+}
+
+// pause stops asking a host for tunnels for a while.
+func (p *pathFinder) pause(host string, cause error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := wire.BootTime()
+	if p.pausedUntil[host] < now {
+		p.host.log.Info("another host opened no tunnel", zap.String("peer", host), zap.Error(cause))
+	}
+	p.pausedUntil[host] = now + hostPause
+}
+
+// available reports whether a host may be asked for tunnels.
+func (p *pathFinder) available() bool { return len(p.candidates("")) > 0 }
+
+// candidates returns the hosts to ask for a tunnel to a target: near ones first, as links
+// between regions are narrow, and among these in an order that spreads targets over them.
+func (p *pathFinder) candidates(target string) []observedRow {
+	hosts := p.host.members.others()
+	p.mu.Lock()
+	now := wire.BootTime()
+	hosts = slices.DeleteFunc(hosts, func(h observedRow) bool { return now < p.pausedUntil[h.Host] })
+	p.mu.Unlock()
+	settings := p.host.currentSettings()
+	rank := make(map[string]uint64, len(hosts))
+	for _, h := range hosts {
+		rank[h.Host] = place.RendezvousScore(target, h.Host)
+	}
+	slices.SortFunc(hosts, func(a, b observedRow) int {
+		return cmp.Or(cmp.Compare(settings.distance(a.Zone), settings.distance(b.Zone)), cmp.Compare(rank[b.Host], rank[a.Host]))
+	})
+	return hosts[:min(maxTunnelTries, len(hosts))]
+}
+
+// connect connects to a target for another host. It goes through no third host.
+func (p *pathFinder) connect(ctx context.Context, host, target string) (net.Conn, error) {
+	if !p.host.members.isHost(host) {
+		return nil, &tunnel.ConnectError{Status: http.StatusForbidden, Problem: "no host has this address"}
+	}
+	t, ok := p.host.fleet.Get(target)
+	switch {
+	case !ok || t.Leaving:
+		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: "the target is not listed or leaves"}
+	case t.Relayed || p.host.fleet.Isolated(t.Service):
+		return nil, &tunnel.ConnectError{Status: http.StatusServiceUnavailable, Problem: "the host itself has no path to the targets"}
+	case t.Down:
+		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: "the target cannot be reached"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
+	defer cancel()
+	conn, err := p.direct.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: err.Error()}
+	}
+	return conn, nil
+}
+
+// others returns the other hosts that may be alive.
+func (m *members) others() []observedRow {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var others []observedRow
+	for _, hosts := range m.currentView().rankedByRegion {
+		for _, h := range hosts {
+			if h.Host != m.host.settings.Name && h.Peer != "" {
+				others = append(others, h)
+			}
+		}
+	}
+	return others
+}
+
+// isHost reports whether a host that may be alive has an IP address.
+func (m *members) isHost(address string) bool {
+	return slices.ContainsFunc(m.others(), func(h observedRow) bool {
+		peer, err := netip.ParseAddrPort(h.Peer)
+		return err == nil && peer.Addr().String() == address
+	})
+}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -14,6 +14,7 @@
 	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/relay"
+	"sesamehill.example/sesamehill/internal/tunnel"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -148,5 +149,6 @@
 	mux.HandleFunc("POST "+tablePath, h.serveTable)
 	mux.HandleFunc("POST "+configPath, h.serveConfig)
 	mux.HandleFunc("POST "+originPath, h.serveOrigin)
+	mux.Handle("GET "+tunnel.Path, h.tunnels)
 	return mux
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -64,6 +64,11 @@
 	}
 }
 
+// WithDialContext sets the function that opens connections.
+func WithDialContext(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
 // NewTransport returns a round tripper that never retries a request by itself.
 func NewTransport(m Mode, opts ...Option) http.RoundTripper {
 	d := Dialer()
