Release the lease on a host that is cut off from engines that others reach

Engines stayed at old weights for as long as the host that gives orders had no path to them: it renewed its lease and its orders failed. Orders cannot go through another host, as targets take them for those of a second holder. The host now releases the lease when another host connects it to engines that it cannot connect to itself.

TestLeaseHolderWithoutPathToWorkers: before, the engine was not ordered to the newest version within 9 s; now it is, with rising fencing tokens.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// isolationShare is the share of the targets of a service above which a host that
@@ -13,6 +16,9 @@
 	// after it was not reached through another host either.
 	minRelayPause = 250 * time.Millisecond
 	maxRelayPause = 2 * time.Second
+	// cutOffTTL is how long a connection through another host shows that targets run from
+	// which this host is cut off.
+	cutOffTTL = 3 * time.Second
 	// isolationTTL is how long a computed isolation is used.
 	isolationTTL = 20 * time.Millisecond
 )
@@ -29,6 +35,8 @@
 	// is tried until retryAt.
 	failures int
 	retryAt  time.Duration
+	// reachedAt is the time of the last connection through another host.
+	reachedAt time.Duration
 	// reportedAt is the time of the last report of another host that it cannot reach the
 	// target.
 	reportedAt time.Duration
@@ -45,6 +53,17 @@
 	return isolated(f.services[service])
 }
 
+// CutOff reports whether this host cannot connect to most targets of a service, while
+// another host can.
+func (f *Fleet) CutOff(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets, now := f.services[service], f.now()
+	return isolated(targets) && slices.ContainsFunc(targets, func(s *state) bool {
+		return s.relay.reachedAt != 0 && now-s.relay.reachedAt < cutOffTTL
+	})
+}
+
 // recentlyIsolated returns the same, as computed within isolationTTL.
 func (f *Fleet) recentlyIsolated(service string, now time.Duration) bool {
 	i, ok := f.isolation[service]
@@ -99,7 +118,7 @@
 	switch {
 	case !known:
 	case ok:
-		s.relay.failures, s.relay.retryAt = 0, 0
+		s.relay.failures, s.relay.retryAt, s.relay.reachedAt = 0, 0, f.now()
 	default:
 		s.relay.failures++
 		s.relay.retryAt = f.now() + min(minRelayPause<<min(s.relay.failures-1, 3), maxRelayPause)
--- a/internal/server/leased_task.go
+++ b/internal/server/leased_task.go
@@ -133,11 +133,30 @@
 	return 0
 }
 
-// contendForLease acquires and renews the lease while this host is one of the
-// contenders. A host that stops being one releases the lease.
+// mayHoldLease reports whether this host should hold the lease: it is one of the
+// contenders, and is not cut off from engines that other hosts reach. Orders never go
+// through another host, as targets take them for those of a second holder.
+func (l *leasedTask) mayHoldLease() bool {
+	if !l.host.members.isContender() {
+		return false
+	}
+	config := l.host.proxy.Config()
+	if config == nil {
+		return true
+	}
+	for _, s := range config.Services {
+		if s.Engine != nil && l.host.fleet.CutOff(s.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// contendForLease acquires and renews the lease while this host should hold it.
+// Otherwise it releases the lease.
 func (l *leasedTask) contendForLease(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !l.host.members.isContender() {
+		if !l.mayHoldLease() {
 			if pause.For(ctx, contendCheckInterval) != nil {
 				break
 			}
@@ -146,7 +165,7 @@
 		contendCtx, stop := context.WithCancel(ctx)
 		go func() {
 			for pause.For(contendCtx, contendCheckInterval) == nil {
-				if !l.host.members.isContender() {
+				if !l.mayHoldLease() {
 					stop()
 				}
 			}
