Send brittle targets no more than they take, over all hosts together

A target that says that it is brittle falls over if it has to refuse more than a number of requests in a second; nobody read that. Hosts now tell each other which targets are brittle, leave a margin of their slots free, let nothing wait there, use an equal share each, and after a refusal send less than was in flight then, after a pause that keeps the refusals that all hosts cause at half of what the target bears.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,8 +68,16 @@
 	dropAt time.Duration
 	// remote is the sum of the in-flight loads that the other hosts report.
 	remote InFlight
-	limit  observedLimit
-	relay  relayState
+	// limit is the target's rate limit, refusals the number of refusals in a second that it
+	// bears while it is brittle.
+	limit, refusals observedLimit
+	// pausedUntil is the time until which the target gets no requests of this host.
+	pausedUntil time.Duration
+	// taken is the number of calls that a brittle target took at once when it refused the
+	// last one, at refusedAt; zero if it has refused none.
+	taken     int
+	refusedAt time.Duration
+	relay     relayState
 }
 
 // Option changes a default of New.
@@ -384,7 +392,7 @@
 func (s *state) status(now time.Duration) Status {
 	st := Status{
 		Target: s.Target, InFlight: s.inFlight, LastDataAt: s.lastDataAt, Waiting: s.waiting, FailureRate: s.currentFailureRate(now), Down: s.down(now),
-		RateLimit: s.limit.current(now),
+		RateLimit: s.limit.current(now), RefusalLimit: s.refusals.current(now), PausedFor: max(s.pausedUntil-now, 0), TakenCalls: s.takenCalls(now),
 	}
 	if s.replyVersions != nil && now-s.replyVersionsAt < versionGrace {
 		t := *s.Target
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -15,11 +15,15 @@
 	// at least rateLimitRequests requests of the target.
 	rateLimitTTL      = 10 * time.Second
 	rateLimitRequests = 20
+	// takenRaiseInterval is the time after which one more call than a brittle target has
+	// shown to take is tried. After maxTakenRaise of them its refusals do not count any more.
+	takenRaiseInterval = 2 * time.Second
+	maxTakenRaise      = 20
 )
 
-// RateLimit is how many requests a second a target takes from all hosts together, as it
-// said in an answer to some host.
-type RateLimit struct {
+// Limit is a number that a target has named in an answer to some host: how many requests
+// a second it takes from all hosts together, or how many it can refuse in a second.
+type Limit struct {
 	// PerSecond is negative if the target named no limit.
 	PerSecond float64 `cbor:"1,keyasint"`
 	AgeMs     int64   `cbor:"2,keyasint"`
@@ -35,6 +39,25 @@
 	at        time.Duration
 }
 
+// limitKind is one of the limits that a target may name.
+type limitKind struct {
+	// of returns the limit of a target.
+	of func(s *state) *observedLimit
+	// ended and named are the log's texts for the changes of the limit.
+	ended, named string
+}
+
+var (
+	rateLimit = limitKind{
+		of:    func(s *state) *observedLimit { return &s.limit },
+		ended: "names no limit any more", named: "names a limit of %g requests per second",
+	}
+	refusalLimit = limitKind{
+		of:    func(s *state) *observedLimit { return &s.refusals },
+		ended: "is not brittle any more", named: "is brittle: it can refuse %g requests per second",
+	}
+)
+
 // current returns the limit that counts now.
 func (l observedLimit) current(now time.Duration) float64 {
 	ttl := rateLimitTTL
@@ -50,62 +73,114 @@
 // RecordRateLimit records how many requests a second a target takes from all hosts
 // together, as it says in an answer; Unlimited if it names no limit.
 func (f *Fleet) RecordRateLimit(id string, perSecond float64) {
+	f.recordLimit(rateLimit, id, perSecond)
+}
+
+// RecordRefusalLimit records how many requests a brittle target can refuse in a second
+// without falling over, as it says in an answer; Unlimited if it is not brittle.
+func (f *Fleet) RecordRefusalLimit(id string, perSecond float64) {
+	f.recordLimit(refusalLimit, id, perSecond)
+}
+
+func (f *Fleet) recordLimit(k limitKind, id string, perSecond float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.targets[id]; ok {
-		f.setRateLimit(s, observedLimit{perSecond: perSecond, named: perSecond != Unlimited, at: f.now()})
+		f.setLimit(k, s, observedLimit{perSecond: perSecond, named: perSecond != Unlimited, at: f.now()})
 	}
 }
 
-// RecordRemoteRateLimits records the limits that targets have named to other hosts.
-func (f *Fleet) RecordRemoteRateLimits(limits map[string]RateLimit) {
+// RecordRemoteRateLimits records the rate limits that targets have named to other hosts.
+func (f *Fleet) RecordRemoteRateLimits(limits map[string]Limit) { f.recordRemote(rateLimit, limits) }
+
+// RecordRemoteRefusalLimits records which targets have said to other hosts that they are
+// brittle.
+func (f *Fleet) RecordRemoteRefusalLimits(limits map[string]Limit) {
+	f.recordRemote(refusalLimit, limits)
+}
+
+func (f *Fleet) recordRemote(k limitKind, limits map[string]Limit) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, l := range limits {
 		s, ok := f.targets[id]
 		at := f.now() - time.Duration(min(max(l.AgeMs, 0), rateLimitTTL.Milliseconds()))*time.Millisecond
-		if !ok || s.StartedAtMs != l.StartedAtMs || at <= s.limit.at {
+		if !ok || s.StartedAtMs != l.StartedAtMs || at <= k.of(s).at {
 			continue
 		}
-		f.setRateLimit(s, observedLimit{perSecond: l.PerSecond, named: l.PerSecond >= 0, at: at})
+		f.setLimit(k, s, observedLimit{perSecond: l.PerSecond, named: l.PerSecond >= 0, at: at})
 	}
 }
 
-func (f *Fleet) setRateLimit(s *state, l observedLimit) {
-	before := s.limit.current(f.now())
-	if !l.named && !s.limit.named {
+func (f *Fleet) setLimit(k limitKind, s *state, l observedLimit) {
+	known := k.of(s)
+	before := known.current(f.now())
+	if !l.named && !known.named {
 		return
 	}
-	s.limit = l
+	*known = l
 	switch after := l.current(f.now()); after {
 	case before:
 	case Unlimited:
-		f.onChange(Change{Target: *s.Target, Event: "names no limit any more"})
+		f.onChange(Change{Target: *s.Target, Event: k.ended})
 	default:
-		f.onChange(Change{Target: *s.Target, Event: fmt.Sprintf("names a limit of %g requests per second", after)})
+		f.onChange(Change{Target: *s.Target, Event: fmt.Sprintf(k.named, after)})
 	}
 }
 
-// RateLimits returns the current limits, and those that have ended a
-// short time ago, by target.
-func (f *Fleet) RateLimits() map[string]RateLimit {
+// RateLimits returns the current rate limits, and those that have ended a short time ago,
+// by target.
+func (f *Fleet) RateLimits() map[string]Limit { return f.limits(rateLimit) }
+
+// RefusalLimits returns the same for the targets that are brittle.
+func (f *Fleet) RefusalLimits() map[string]Limit { return f.limits(refusalLimit) }
+
+func (f *Fleet) limits(k limitKind) map[string]Limit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	var out map[string]RateLimit
+	var out map[string]Limit
 	for id, s := range f.targets {
-		recent := s.limit.at > 0 && now-s.limit.at < rateLimitTTL
-		if !recent {
+		known := k.of(s)
+		if known.at == 0 || now-known.at >= rateLimitTTL {
 			continue
 		}
 		if out == nil {
-			out = map[string]RateLimit{}
+			out = map[string]Limit{}
 		}
-		l := RateLimit{PerSecond: s.limit.perSecond, AgeMs: (now - s.limit.at).Milliseconds(), StartedAtMs: s.StartedAtMs}
-		if !s.limit.named {
+		l := Limit{PerSecond: known.perSecond, AgeMs: (now - known.at).Milliseconds(), StartedAtMs: s.StartedAtMs}
+		if !known.named {
 			l.PerSecond = -1
 		}
 		out[id] = l
 	}
 	return out
 }
+
+// RecordRefusal records that a brittle target has refused a request: it takes fewer calls
+// than were in flight, and gets none of this host for a pause.
+func (f *Fleet) RecordRefusal(id string, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok {
+		return
+	}
+	now := f.now()
+	calls := s.inFlight.Calls + f.othersInFlight(s, now).Calls
+	if known := s.takenCalls(now); known > 0 {
+		calls = min(calls, known)
+	}
+	s.taken, s.refusedAt = max(calls-1, 1), now
+	s.pausedUntil = max(s.pausedUntil, now+pause)
+}
+
+// takenCalls returns how many calls a brittle target takes at once, as its refusals show;
+// zero if it has refused none lately. One more is tried after each takenRaiseInterval.
+func (s *state) takenCalls(now time.Duration) int {
+	raised := int((now - s.refusedAt) / takenRaiseInterval)
+	if s.taken == 0 || raised >= maxTakenRaise || s.refusals.current(now) == Unlimited {
+		return 0
+	}
+	return s.taken + raised
+}
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -66,6 +66,14 @@
 	// RateLimit is the number of requests a second that the target takes from all hosts
 	// together; Unlimited if it names none. The log names its changes.
 	RateLimit float64 `json:"-"`
+	// RefusalLimit is the number of requests that the target can refuse in a second without
+	// falling over; Unlimited if it is not brittle.
+	RefusalLimit float64 `json:"-"`
+	// TakenCalls is the number of calls that a brittle target takes at once, as its refusals
+	// show; zero if that is unknown.
+	TakenCalls int `json:"taken"`
+	// PausedFor is the time for which the target gets no requests of this host.
+	PausedFor time.Duration `json:"paused"`
 }
 
 // Change is a change of the host's view of one target.
--- a/internal/gossip/check.go
+++ b/internal/gossip/check.go
@@ -54,9 +54,11 @@
 			return fmt.Sprintf("age of table %q is out of range", table)
 		}
 	}
-	for _, l := range m.RateLimits {
-		if !ageInRange(l.AgeMs) || l.PerSecond != l.PerSecond {
-			return "a rate limit is out of range"
+	for _, limits := range []map[string]fleet.Limit{m.RateLimits, m.RefusalLimits} {
+		for _, l := range limits {
+			if !ageInRange(l.AgeMs) || l.PerSecond != l.PerSecond {
+				return "a limit of a target is out of range"
+			}
 		}
 	}
 	if problem := m.originsOutOfRange(); problem != "" {
--- a/internal/gossip/check_test.go
+++ b/internal/gossip/check_test.go
@@ -31,7 +31,7 @@
 	Entry("tokens", Message{InFlight: map[string]fleet.InFlight{"e": {Tokens: math.MinInt64}}}),
 	Entry("a table in the future", Message{Tables: map[string]relay.TableVersion{"servers": {Version: 4, AgeMs: -1 << 40}}}),
 	Entry("an age that overflows", Message{Tables: map[string]relay.TableVersion{"servers": {Version: 4, AgeMs: math.MaxInt64}}}),
-	Entry("a rate that is no number", Message{RateLimits: map[string]fleet.RateLimit{"e": {PerSecond: math.NaN()}}}),
+	Entry("a rate that is no number", Message{RateLimits: map[string]fleet.Limit{"e": {PerSecond: math.NaN()}}}),
 	Entry("a desired version", Message{Desired: map[string]DesiredVersion{"m": {Version: math.MaxInt64}}}),
 	Entry("the age of a desired version", Message{Desired: map[string]DesiredVersion{"m": {Version: 1, AgeMs: -5}}}),
 	Entry("the time of an announcement", Message{Desired: map[string]DesiredVersion{"m": {Version: 1, AtMs: math.MaxInt64}}}),
--- a/internal/gossip/delay_test.go
+++ b/internal/gossip/delay_test.go
@@ -41,7 +41,7 @@
 			Host: "a", SentMs: 5000, Progress: &roll.Progress{}, Tables: map[string]relay.TableVersion{"op": {Version: 3, AgeMs: 10}},
 			Desired:       map[string]DesiredVersion{"m": {Version: 2, AgeMs: 20}},
 			DesiredByHost: map[string]map[string]DesiredVersion{"c": {"m": {Version: 2, AgeMs: 30}}},
-			RateLimits:    map[string]fleet.RateLimit{"t": {PerSecond: 2, AgeMs: 40}},
+			RateLimits:    map[string]fleet.Limit{"t": {PerSecond: 2, AgeMs: 40}},
 		}
 	}
 
--- a/internal/gossip/fuzz_test.go
+++ b/internal/gossip/fuzz_test.go
@@ -20,7 +20,7 @@
 		{Host: "a", Kind: Reply, Tables: map[string]relay.TableVersion{"servers": {Version: 7, AgeMs: 5}}, OmitsLoad: true},
 		{Host: "a", Progress: &roll.Progress{Loading: []string{"e"}, Loaded: map[string]map[string]int{"e": {"m": 2}}}},
 		{Host: "a", Crashes: []crash.Record{{IDs: []uint64{1}, Ages: []int64{5}, Forgiven: []bool{false}}}},
-		{Host: "a", RateLimits: map[string]fleet.RateLimit{"e": {PerSecond: 2.5, AgeMs: 30, StartedAtMs: 1000}}},
+		{Host: "a", RateLimits: map[string]fleet.Limit{"e": {PerSecond: 2.5, AgeMs: 30, StartedAtMs: 1000}}},
 	} {
 		b, err := cbor.Marshal(m)
 		if err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -74,7 +74,10 @@
 	// Crashes are records of requests that have crashed targets.
 	Crashes []crash.Record `cbor:"12,keyasint,omitempty"`
 	// RateLimits are the limits that targets have named, by target.
-	RateLimits map[string]fleet.RateLimit `cbor:"13,keyasint,omitempty"`
+	RateLimits map[string]fleet.Limit `cbor:"13,keyasint,omitempty"`
+	// RefusalLimits are the numbers of refusals in a second that brittle targets bear, by
+	// target.
+	RefusalLimits map[string]fleet.Limit `cbor:"23,keyasint,omitempty"`
 	// SentMs is the time on the platform's clock at which the message was sent; zero if
 	// the sender does not know it. A message may wait in the socket of a host that is
 	// paused, and the ages in it count from this time.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -93,9 +93,11 @@
 			versions[software] += ms
 		}
 	}
-	for target, l := range m.RateLimits {
-		l.AgeMs += ms
-		m.RateLimits[target] = l
+	for _, limits := range []map[string]fleet.Limit{m.RateLimits, m.RefusalLimits} {
+		for target, l := range limits {
+			l.AgeMs += ms
+			limits[target] = l
+		}
 	}
 	for _, versions := range m.DesiredByHost {
 		for model, v := range versions {
@@ -161,6 +163,7 @@
 func (e *Exchange) recordSharedState(m Message, delay time.Duration) {
 	e.fleet.Suspect(m.Host, m.Unreachable)
 	e.fleet.RecordRemoteRateLimits(m.RateLimits)
+	e.fleet.RecordRemoteRefusalLimits(m.RefusalLimits)
 	if m.Registered && e.roster != nil {
 		e.roster.RecordRegisteredPeer(delay)
 	}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -146,7 +146,7 @@
 
 // messageWithoutLoad returns a message with everything but the in-flight load.
 func (e *Exchange) messageWithoutLoad(k Kind) Message {
-	m := Message{Host: e.host, Kind: k, Unreachable: e.fleet.Unreachable(), RateLimits: e.fleet.RateLimits()}
+	m := Message{Host: e.host, Kind: k, Unreachable: e.fleet.Unreachable(), RateLimits: e.fleet.RateLimits(), RefusalLimits: e.fleet.RefusalLimits()}
 	m.Registered = e.roster != nil && e.roster.Registered()
 	m.Crashes = e.crashRecords(k)
 	if e.origins != nil {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -33,6 +33,8 @@
 	Room       int
 	Unread     int
 	FetchingMs float64
+	// Brittle is set if no requests may queue at the target.
+	Brittle bool
 	// Risk is the share of recent attempts that failed.
 	Risk float64
 	// Down is set if the target refused a connection a short time ago.
@@ -194,7 +196,11 @@
 func ChooseTarget(cs []Candidate, k Costs) Choice {
 	return pick(cs, func(_ int, c Candidate) (float64, bool) {
 		cost := k.base(c) + k.PlainCallMs*float64(c.Calls)
-		return cost, c.Slots <= 0 || c.Calls < c.Slots+k.ExtraCalls
+		extra := k.ExtraCalls
+		if c.Brittle {
+			extra = 0
+		}
+		return cost, c.Slots <= 0 || c.Calls < c.Slots+extra
 	})
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -361,6 +361,12 @@
 	if r.Sealed || r.RateLimit != fleet.Unlimited {
 		p.fleet.RecordRateLimit(c.ID, r.RateLimit)
 	}
+	if r.Sealed || r.RefusalLimit != fleet.Unlimited {
+		p.fleet.RecordRefusalLimit(c.ID, r.RefusalLimit)
+	}
+	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
+		p.fleet.RecordRefusal(c.ID, p.refusalPause(r.RefusalLimit))
+	}
 	if r.Version > 0 && s.Call.Prompt != nil {
 		p.fleet.RecordVersion(c.ID, s.Call.Prompt.Model, r.Version)
 	}
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"sesamehill.example/sesamehill/internal/fleet"
@@ -15,8 +16,52 @@
 // that are gone leave theirs behind.
 const maxBuckets = 4096
 
+const (
+	// refusalShare is the share of the refusals that a brittle target bears which the hosts
+	// cause together.
+	refusalShare = 0.5
+	// maxRefusalPause bounds the pause after a refusal, minRefusalPause is the least one.
+	minRefusalPause = 500 * time.Millisecond
+	maxRefusalPause = 10 * time.Second
+	// brittleMargin is the share of the slots of a brittle target that stays free, as other
+	// hosts may send to it at the same moment.
+	brittleMargin = 0.15
+)
+
+// refusalPause returns for how long this host sends nothing to a brittle target that has
+// refused a request, so that all hosts together cause a share of what it bears.
+func (p *Proxy) refusalPause(limit float64) time.Duration {
+	pause := time.Duration(float64(p.hosts()) / max(refusalShare*limit, math.SmallestNonzeroFloat32) * float64(time.Second))
+	if pause < 0 || pause > maxRefusalPause {
+		pause = maxRefusalPause
+	}
+	return max(pause, minRefusalPause)
+}
+
+// usableSlots returns the slots of a target that may be used, and whether the target is
+// brittle, so that no requests may wait there. Of a brittle target each host uses an equal
+// share, as hosts that send at the same moment do not know of each other's requests.
+func (p *Proxy) usableSlots(s fleet.Status, calls int) (slots int, brittle bool) {
+	if s.RefusalLimit == fleet.Unlimited || s.Slots <= 0 {
+		return s.Slots, false
+	}
+	slots = max(1, int(float64(s.Slots)*(1-brittleMargin)))
+	if s.TakenCalls > 0 {
+		slots = min(slots, s.TakenCalls)
+	}
+	hosts := max(p.hosts(), 1)
+	if share := (slots + hosts - 1) / hosts; s.InFlight.Calls >= share {
+		slots = min(slots, calls)
+	}
+	return slots, true
+}
+
+// sendWait returns how long this host has to wait until it may send another request to a
+// target; zero if it may now. The caller holds placementMu.
+func (p *Proxy) sendWait(s fleet.Status) time.Duration { return max(p.rateWait(s), s.PausedFor) }
+
 // rateWait returns how long this host has to wait until it may send another request to
-// a target; zero if it may now. The caller holds placementMu.
+// a target that names a rate limit. The caller holds placementMu.
 func (p *Proxy) rateWait(s fleet.Status) time.Duration {
 	if s.RateLimit == fleet.Unlimited {
 		delete(p.buckets, s.ID)
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -119,6 +119,9 @@
 	// RateLimit is the number of requests a second that the target takes from all hosts
 	// together; fleet.Unlimited if it names none.
 	RateLimit float64
+	// RefusalLimit is the number of requests that the target can refuse in a second without
+	// falling over; fleet.Unlimited if it is not brittle.
+	RefusalLimit float64
 	// Version is the weight version that ran the request; zero if the target does
 	// not state it.
 	Version int
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -216,7 +216,7 @@
 		if j.excluded[s.ID] || !j.binding.allows(s.Target) || p.weights.Loading(s.ID) || p.outdated(j, s) {
 			continue
 		}
-		if wait := p.rateWait(s); wait > 0 {
+		if wait := p.sendWait(s); wait > 0 {
 			if limitedFor == 0 || wait < limitedFor {
 				limitedFor = wait
 			}
