Let streams stay at a target that falls silent for a second or so

A sound target may fall silent for a second and go on, which is no disruption in the users' rules. A stream left it after 0.8 s without data and one connection that hung for 0.4 s: a second run, a place in the retry budget and a crash record. A target that does not answer now has to fail two checks 0.8 s apart; one that refuses connections is left at once as before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -55,6 +55,9 @@
 	// noDataLimit is for how long a target may send no data to this host, on any
 	// request, before a stream that can be resumed elsewhere may leave it.
 	noDataLimit = 800 * time.Millisecond
+	// maxSilentChecks is the number of checks in a row, noDataLimit apart, to which a target
+	// does not answer before a stream may leave it.
+	maxSilentChecks = 2
 	// stallGapFactor limits the pause between two events of a stream, in multiples
 	// of the longest pause that the route allows.
 	stallGapFactor = 4
@@ -184,7 +187,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	alternatives := p.alternativesTo(j, c)
 	go safego.Do(j.log, "stall watch", func() {
-		idle := time.Duration(0)
+		idle, silent := time.Duration(0), silence{}
 		for pause.For(ctx, max(noDataLimit-idle, stallCheckInterval)) == nil {
 			lastEvent := time.Duration(j.lastEventAt.Load())
 			idle = wire.BootTime() - max(started, lastEvent)
@@ -193,7 +196,7 @@
 				// The request may be queued there, or the engine may prefill other
 				// prompts.
 				probedAt = wire.BootTime()
-				unreachable = p.unreachable(ctx, c)
+				unreachable = silent.lasts(p.paths.Reach(ctx, c.Service, c.ID, c.Address)) && ctx.Err() == nil
 			}
 			stalled := lastEvent >= started && idle > max(stallGapFactor*j.route.MaxGap, noDataLimit) && c.attempt.NoDataFor(noDataLimit)
 			if (unreachable || stalled || idle > limit && c.attempt.QueueEmpty()) && alternatives(lastEvent >= started) {
@@ -225,7 +228,26 @@
 // calls at a target receives little data from it, which says nothing about the state of
 // the target.
 func (p *Proxy) unreachable(ctx context.Context, c reservation) bool {
-	return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Unreachable && ctx.Err() == nil
+	reach := p.paths.Reach(ctx, c.Service, c.ID, c.Address)
+	return (reach == Unreachable || reach == Silent) && ctx.Err() == nil
+}
+
+// silence counts the checks in a row to which a target did not answer.
+type silence struct{ checks int }
+
+// lasts records the result of a check and reports whether a stream may leave the target:
+// it refuses connections, or has not answered maxSilentChecks times. A sound target may
+// fall silent for a second or so and go on.
+func (s *silence) lasts(r Reach) bool {
+	switch r {
+	case Unreachable:
+		return true
+	case Silent:
+		s.checks++
+	default:
+		s.checks = 0
+	}
+	return s.checks >= maxSilentChecks
 }
 
 // handleSendError decides what follows an attempt that got no response.
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 
 	"sesamehill.example/sesamehill/internal/wire"
@@ -13,7 +14,10 @@
 // Values of Reach.
 const (
 	Reachable Reach = iota
+	// Unreachable means that the target refuses connections.
 	Unreachable
+	// Silent means that the target does not answer. It may be sound and go on soon.
+	Silent
 	// ReachUnknown means that this host is cut off from the targets, and that no other one
 	// tells.
 	ReachUnknown
@@ -32,8 +36,17 @@
 
 // Reach finds out whether a target accepts connections.
 func (d directPaths) Reach(ctx context.Context, _, _, address string) Reach {
-	if wire.CheckReachable(ctx, d.Dialer, address) != nil && ctx.Err() == nil {
-		return Unreachable
+	return ReachOf(wire.CheckReachable(ctx, d.Dialer, address))
+}
+
+// ReachOf returns what the result of a connection to a target says.
+func ReachOf(err error) Reach {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return Reachable
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return Silent
 	}
-	return Reachable
+	return Unreachable
 }
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -59,12 +59,9 @@
 
 // Reach finds out whether a target accepts connections.
 func (p *pathFinder) Reach(ctx context.Context, service, target, address string) proxy.Reach {
-	err := wire.CheckReachable(ctx, p.direct, address)
-	switch {
-	case err == nil:
-		return proxy.Reachable
-	case !p.host.fleet.Isolated(service):
-		return proxy.Unreachable
+	direct := proxy.ReachOf(wire.CheckReachable(ctx, p.direct, address))
+	if direct == proxy.Reachable || !p.host.fleet.Isolated(service) {
+		return direct
 	}
 	conn, err := p.dialThrough(ctx, target)
 	var refused *tunnel.RefusedError
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,14 +16,24 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged.
-	unackedTimeout = 2 * time.Second
+	// keepAliveInterval is the time without data after which a connection is probed, and
+	// that between two probes; keepAliveProbes is the number of unanswered probes that end
+	// it.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+	// unackedTimeout is how long sent data may stay unacknowledged. As TCP_USER_TIMEOUT it
+	// also ends a connection whose probes stay unanswered, whatever their number, so that it
+	// must not be shorter than the time of all probes.
+	unackedTimeout = (1 + keepAliveProbes) * keepAliveInterval
 	// idleTimeout is shorter than any idle timeout that a server announces in whole
 	// seconds, so that no request is sent on a connection that the server is closing.
 	idleTimeout    = 900 * time.Millisecond
 	maxIdlePerHost = 16
 )
 
+// keepAlive is the configuration of the probes of a connection.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
+
 // Mode says whether connections are reused.
 type Mode int
 
@@ -92,11 +102,9 @@
 // Dialer returns a dialer whose connections detect dead peers.
 func Dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setUnackedTimeout(c) },
+		Timeout:         dialTimeout,
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUnackedTimeout(c) },
 	}
 }
 
@@ -187,7 +195,7 @@
 // Listen opens a listener whose connections detect dead peers.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	c := net.ListenConfig{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		KeepAliveConfig: keepAlive,
 		Control:         func(_, _ string, c syscall.RawConn) error { return setUnackedTimeout(c) },
 	}
 	return c.Listen(ctx, "tcp", address)
