Let probes and not the user timeout decide when a silent connection ends

TCP_USER_TIMEOUT also ends a connection whose keep-alive probes stay unanswered, whatever their number. At 2 s, with probes 1 s apart, one unanswered probe was enough: a target that fell silent for a second after a second without data lost its connections.

--- a/internal/wire/dial_test.go
+++ b/internal/wire/dial_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 )
 
 // Guards against a host that cannot reach the platform while the queue of a shared
@@ -41,3 +42,31 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2*dialTimeout), "the timeout is reset after a dial that succeeded")
 }
+
+// Guards against a connection to a sound peer that ends after its first unanswered probe:
+// the time for unacknowledged data also decides when probes give up.
+func TestProbesDecideWhenPeerIsSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	probing := keepAlive.Idle + time.Duration(keepAlive.Count)*keepAlive.Interval
+	g.Expect(unackedTimeout).To(gomega.BeNumerically(">=", probing))
+	l, err := Listen(context.Background(), "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { g.Expect(l.Close()).To(gomega.Succeed()) }()
+	conn, err := Dialer().Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { g.Expect(conn.Close()).To(gomega.Succeed()) }()
+	accepted, err := l.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { g.Expect(accepted.Close()).To(gomega.Succeed()) }()
+	for _, c := range []net.Conn{conn, accepted} {
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		var timeout int
+		var optErr error
+		g.Expect(raw.Control(func(fd uintptr) {
+			timeout, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		})).To(gomega.Succeed())
+		g.Expect(optErr).NotTo(gomega.HaveOccurred())
+		g.Expect(time.Duration(timeout) * time.Millisecond).To(gomega.Equal(unackedTimeout))
+	}
+}
