Answer requests that come late in a planned stop

http.Server.Shutdown closes a connection whose first request it has just read, without an answer, and requests that ran at the end of the grace time were cut without one, among them some that must not be repeated.

Requests get the end of the stop as their deadline, late ones that cannot be finished and late streams are refused as not run, and what runs at the end gets its final answer 150 ms before it.

--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -40,7 +40,7 @@
 // abort ends a request whose deadline passed or whose client disconnected.
 func (p *Proxy) abort(ctx context.Context, j *job, cause error) {
 	switch {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadlineExceeded):
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadlineExceeded) && !errors.Is(context.Cause(ctx), errDraining):
 		p.recordOutcome(j, "left", 0, "client disconnected")
 		panic(http.ErrAbortHandler)
 	case j.headerSent:
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -105,6 +105,8 @@
 	defer j.pooledBody.Release()
 	ctx, cancel := context.WithTimeoutCause(r.Context(), j.deadline-wire.BootTime(), errDeadlineExceeded)
 	defer cancel()
+	ctx, cancel = p.untilDrained(ctx)
+	defer cancel()
 	p.serve(ctx, j)
 }
 
@@ -135,7 +137,11 @@
 	if !p.readBody(j, r) {
 		return false
 	}
-	j.setDeadline()
+	j.setDeadline(p.draining.Load())
+	if p.refuseLate(j) {
+		j.pooledBody.Release()
+		return false
+	}
 	if route.Resumable {
 		j.order.startAfter(j.LastEventID)
 	}
@@ -144,8 +150,9 @@
 	return true
 }
 
-// setDeadline sets the deadline from the timeouts of the route and of the caller.
-func (j *job) setDeadline() {
+// setDeadline sets the deadline from the timeouts of the route and of the caller, and from
+// the stop of the host.
+func (j *job) setDeadline(d *drain) {
 	timeout := j.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -154,6 +161,9 @@
 		timeout = min(timeout, j.Timeout)
 	}
 	j.deadline = j.Arrived + timeout - responseMargin
+	if d != nil {
+		j.deadline = min(j.deadline, d.end-responseMargin)
+	}
 }
 
 // priority returns the priority of a request; 0 is the most urgent.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -98,6 +99,11 @@
 	freshTransport   http.RoundTripper
 	paths            Paths
 	closeConnections atomic.Bool
+	// draining is the plan of a stop; nil if there is none. drained ends at the end of it,
+	// by endDrain.
+	draining atomic.Pointer[drain]
+	drained  context.Context //nolint:containedctx // it is no context of a call
+	endDrain context.CancelCauseFunc
 	// Metrics holds the counters and latencies of the proxy.
 	Metrics *Metrics
 
@@ -129,6 +135,7 @@
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
 	}
+	p.drained, p.endDrain = context.WithCancelCause(context.Background())
 	p.SetPolicy(place.Cost)
 	for _, o := range opts {
 		o(p)
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -26,6 +26,7 @@
 	"sesamehill.example/sesamehill/internal/tree"
 	"sesamehill.example/sesamehill/internal/tunnel"
 	"sesamehill.example/sesamehill/internal/verlog"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
 const (
@@ -44,8 +45,10 @@
 	listIntervalManyHosts = time.Second
 	maxListDrainShare     = 0.4
 	// exitMargin is the time left between the end of the drain and SIGKILL; the
-	// components of the host may take a second to stop.
-	exitMargin = 1200 * time.Millisecond
+	// components of the host may take a second to stop. answerMargin is the time before it
+	// in which final answers are sent.
+	exitMargin   = 1200 * time.Millisecond
+	answerMargin = 150 * time.Millisecond
 )
 
 // Platform is what a host needs from the shared platform: its tables, its encodings
@@ -213,7 +216,10 @@
 	h.log.Info("draining requests before shutdown", zap.Duration("grace", grace))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
-	if err := pause.For(ctx, min(balancerDetectTime, grace/2)); err != nil {
+	listenFor := min(balancerDetectTime, grace/2)
+	now := wire.BootTime()
+	h.proxy.Drain(now+listenFor, now+grace-exitMargin-answerMargin)
+	if err := pause.For(ctx, listenFor); err != nil {
 		return
 	}
 	if err := h.callers.drain(ctx); err != nil {
