Take the first row of a restarted host for a sign of life after a restore

Rows state the start of their host now; versions are compared within an era only. Older builds ignore the field, and rows without it are compared by their writes as before.

A spec in members_test.go shows it (version 44 after 60 in another era).

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -72,8 +72,10 @@
 	Zone string `json:"zone"`
 	// Peer is the address at which the host serves other hosts.
 	Peer string `json:"peer"`
-	// Writes counts the writes of the row since the host started.
-	Writes uint64 `json:"count"`
+	// StartedAtMs is the start of the host, in Unix milliseconds; zero if it is a build that
+	// does not state it. Writes counts the writes of the row since then.
+	StartedAtMs int64  `json:"start,omitempty"`
+	Writes      uint64 `json:"count"`
 	// LifeMillis is how long the host counts as alive after this write, in
 	// milliseconds; zero stands for minRowLifetime.
 	LifeMillis int64 `json:"life,omitempty"`
@@ -122,9 +124,11 @@
 
 // members writes this host's row and reads those of the other hosts.
 type members struct {
-	host   *Host
-	table  Table
-	writes uint64
+	host  *Host
+	table Table
+	// startedAtMs is the start of this host, in Unix milliseconds.
+	startedAtMs int64
+	writes      uint64
 	// platformEra returns the era of the platform.
 	platformEra func() uint64
 
@@ -155,7 +159,7 @@
 
 func newMembers(h *Host) *members {
 	return &members{
-		host: h, table: h.platform.Table(memberTable), platformEra: h.platformEra, rows: map[string]observedRow{}, viewLifetime: viewLifetime,
+		host: h, table: h.platform.Table(memberTable), startedAtMs: time.Now().UnixMilli(), platformEra: h.platformEra, rows: map[string]observedRow{}, viewLifetime: viewLifetime,
 	}
 }
 
@@ -209,7 +213,7 @@
 	m.writes++
 	own := m.host.settings
 	row := memberRow{
-		Host: own.Name, Zone: own.Zone, Peer: own.Peer, Writes: m.writes, Capacity: own.relayCapacity(),
+		Host: own.Name, Zone: own.Zone, Peer: own.Peer, StartedAtMs: m.startedAtMs, Writes: m.writes, Capacity: own.relayCapacity(),
 		LifeMillis: (missedWrites * interval).Milliseconds(),
 	}
 	b, err := json.Marshal(row)
@@ -370,14 +374,26 @@
 	return 0
 }
 
+// newerThan reports whether a host wrote the row after another one of its rows. Versions
+// are given out again after a restore of the platform, so that they are compared within an
+// era only; the start of the host and its writes tell rows of different eras apart.
+func (m memberRow) newerThan(old observedRow, position feed.Position) bool {
+	switch {
+	case position.Era == old.position.Era && position.Version > old.position.Version:
+		return true
+	case m.StartedAtMs != old.StartedAtMs:
+		return m.StartedAtMs > old.StartedAtMs
+	}
+	return m.Writes > old.Writes
+}
+
 // updateRow records a row of a host. An older row than the known one comes from the copy
-// from which the platform was restored, and is no sign of life. Versions that were lost
-// are given out again, so the same version may come with another row.
+// from which the platform was restored, and is no sign of life.
 func (m *members) updateRow(row memberRow, position feed.Position, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.rows[row.Host]
-	if !ok || position.Version > old.position.Version || row.Writes > old.Writes {
+	if !ok || row.newerThan(old, position) {
 		m.rows[row.Host] = observedRow{memberRow: row, position: position, firstSeen: now}
 		return
 	}
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -246,6 +246,26 @@
 		Expect(m.hostNames()).To(Equal([]string{"a", "b"}))
 	})
 
+	// Guards against a host that starts just after a restore and expires, as the platform
+	// gives its first rows lower versions than the host's earlier rows had.
+	It("take the first row of a host that started again for a sign of life", func() {
+		started := func(r feed.Row, startedAtMs int64) feed.Row {
+			r.Value = []byte(strings.Replace(string(r.Value), "{", fmt.Sprintf(`{"start":%d,`, startedAtMs), 1))
+			return r
+		}
+		deliver(true, row("a", 5, 1), started(row("b", 60, 9), 1000))
+		seenAgo("b", minRowLifetime)
+		first := started(row("b", 44, 1), 2000)
+		first.Era = 2
+		deliver(false, first)
+		Expect(m.hostNames()).To(Equal([]string{"a", "b"}))
+		seenAgo("b", minRowLifetime)
+		copied := started(row("b", 70, 9), 1000)
+		copied.Era = 3
+		deliver(false, copied)
+		Expect(m.hostNames()).To(Equal([]string{"a"}), "a row of the start before")
+	})
+
 	It("have no topology and no leader before the first read", func() {
 		Expect(m.isLeader()).To(BeFalse())
 		Expect(m.topology()).To(BeZero())
