Drop kept connections through other hosts when the own path is back

Under load a kept connection is never idle for long enough to be closed, so that requests went on through another host after the cut.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -31,6 +31,13 @@
 	Reach(ctx context.Context, service, target, address string) Reach
 }
 
+// CloseIdleConnections closes the connections to targets that no request uses.
+func (p *Proxy) CloseIdleConnections() {
+	if t, ok := p.pooledTransport.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
+
 // directPaths connects to targets directly.
 type directPaths struct{ *net.Dialer }
 
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +39,8 @@
 type pathFinder struct {
 	host   *Host
 	direct *net.Dialer
+	// tunneled is set while kept connections may lead through other hosts.
+	tunneled atomic.Bool
 
 	mu sync.Mutex
 	// pausedUntil is the boot time until which a host is not asked for tunnels, by name.
@@ -82,6 +85,7 @@
 	for _, h := range p.candidates(target) {
 		var conn net.Conn
 		if conn, err = p.tryHost(ctx, h.Peer, target); err == nil {
+			p.tunneled.Store(true)
 			p.host.fleet.RecordRelay(target, true)
 			p.host.proxy.Metrics.Count("tunnel")
 			return conn, nil
@@ -123,6 +127,14 @@
 	p.pausedUntil[host] = now + hostPause
 }
 
+// restored drops the kept connections through other hosts, as this host has a path of its
+// own again.
+func (p *pathFinder) restored() {
+	if p.tunneled.CompareAndSwap(true, false) {
+		p.host.proxy.CloseIdleConnections()
+	}
+}
+
 // available reports whether a host may be asked for tunnels.
 func (p *pathFinder) available() bool { return len(p.candidates("")) > 0 }
 
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -64,6 +64,7 @@
 	h.proxy.Metrics.Count("probe")
 	h.fleet.RecordProbe(t, err == nil)
 	if err == nil {
+		h.paths.restored()
 		h.proxy.DispatchSoon()
 	}
 }
