Ask for each version whether it may get new streams; bound the cost of tunnels

Found while reading the change again. Whether another host may be asked for a tunnel was worked out for each target of each choice; it is kept for 20 ms. A host that stops opens no tunnels for others. Names: accepted calls of a brittle target, streams resumed by their callers.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,9 +73,9 @@
 	limit, refusals observedLimit
 	// pausedUntil is the time until which the target gets no requests of this host.
 	pausedUntil time.Duration
-	// taken is the number of calls that a brittle target took at once when it refused the
+	// accepted is the number of calls that a brittle target had accepted when it refused the
 	// last one, at refusedAt; zero if it has refused none.
-	taken     int
+	accepted  int
 	refusedAt time.Duration
 	relay     relayState
 }
@@ -392,7 +392,7 @@
 func (s *state) status(now time.Duration) Status {
 	st := Status{
 		Target: s.Target, InFlight: s.inFlight, LastDataAt: s.lastDataAt, Waiting: s.waiting, FailureRate: s.currentFailureRate(now), Down: s.down(now),
-		RateLimit: s.limit.current(now), RefusalLimit: s.refusals.current(now), PausedFor: max(s.pausedUntil-now, 0), TakenCalls: s.takenCalls(now),
+		RateLimit: s.limit.current(now), RefusalLimit: s.refusals.current(now), PausedFor: max(s.pausedUntil-now, 0), AcceptedCalls: s.acceptedCalls(now),
 	}
 	if s.replyVersions != nil && now-s.replyVersionsAt < versionGrace {
 		t := *s.Target
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -15,10 +15,10 @@
 	// at least rateLimitRequests requests of the target.
 	rateLimitTTL      = 10 * time.Second
 	rateLimitRequests = 20
-	// takenRaiseInterval is the time after which one more call than a brittle target has
-	// shown to take is tried. After maxTakenRaise of them its refusals do not count any more.
-	takenRaiseInterval = 2 * time.Second
-	maxTakenRaise      = 20
+	// acceptRaiseInterval is the time after which one more call than a brittle target has
+	// shown to take is tried. After maxAcceptRaise of them its refusals do not count any more.
+	acceptRaiseInterval = 2 * time.Second
+	maxAcceptRaise      = 20
 )
 
 // Limit is a number that a target has named in an answer to some host: how many requests
@@ -168,19 +168,19 @@
 	}
 	now := f.now()
 	calls := s.inFlight.Calls + f.othersInFlight(s, now).Calls
-	if known := s.takenCalls(now); known > 0 {
+	if known := s.acceptedCalls(now); known > 0 {
 		calls = min(calls, known)
 	}
-	s.taken, s.refusedAt = max(calls-1, 1), now
+	s.accepted, s.refusedAt = max(calls-1, 1), now
 	s.pausedUntil = max(s.pausedUntil, now+pause)
 }
 
-// takenCalls returns how many calls a brittle target takes at once, as its refusals show;
-// zero if it has refused none lately. One more is tried after each takenRaiseInterval.
-func (s *state) takenCalls(now time.Duration) int {
-	raised := int((now - s.refusedAt) / takenRaiseInterval)
-	if s.taken == 0 || raised >= maxTakenRaise || s.refusals.current(now) == Unlimited {
+// acceptedCalls returns how many calls a brittle target takes at once, as its refusals show;
+// zero if it has refused none lately. One more is tried after each acceptRaiseInterval.
+func (s *state) acceptedCalls(now time.Duration) int {
+	raised := int((now - s.refusedAt) / acceptRaiseInterval)
+	if s.accepted == 0 || raised >= maxAcceptRaise || s.refusals.current(now) == Unlimited {
 		return 0
 	}
-	return s.taken + raised
+	return s.accepted + raised
 }
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -69,9 +69,9 @@
 	// RefusalLimit is the number of requests that the target can refuse in a second without
 	// falling over; Unlimited if it is not brittle.
 	RefusalLimit float64 `json:"-"`
-	// TakenCalls is the number of calls that a brittle target takes at once, as its refusals
+	// AcceptedCalls is the number of calls that a brittle target takes at once, as its refusals
 	// show; zero if that is unknown.
-	TakenCalls int `json:"taken"`
+	AcceptedCalls int `json:"accepted"`
 	// PausedFor is the time for which the target gets no requests of this host.
 	PausedFor time.Duration `json:"paused"`
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -33,8 +33,11 @@
 	r := New()
 	r.Observe(listed("v1"), time.Second)
 	r.Observe(listed("v1", "v2"), 2*time.Second)
-	g.Expect(r.Settling(service, 2*time.Second)).To(Equal(map[string]bool{"v2": true}))
-	g.Expect(r.Settling(service, 2*time.Second+SettleTime)).To(BeEmpty())
+	g.Expect(r.Settled(service, "v1", 2*time.Second)).To(BeTrue())
+	g.Expect(r.Settled(service, "v2", 2*time.Second)).To(BeFalse())
+	g.Expect(r.Settled(service, "v2", 2*time.Second+SettleTime)).To(BeTrue())
+	g.Expect(r.Settled(service, "v3", 2*time.Second+SettleTime)).To(BeFalse(), "a version that was not observed yet")
+	g.Expect(r.Settled("other", "v1", 0)).To(BeTrue())
 }
 
 // Guards against a version that is forgotten while streams that it began may be taken up,
@@ -94,10 +97,9 @@
 // begin begins a stream at a host and one of the versions that it lists and may use.
 func (s *simulation) begin(t *rapid.T, host int) {
 	h, list := s.hosts[host], s.lists[max(s.step-s.listLag[host], 0)]
-	settling := h.Settling(service, s.now())
 	var usable []string
 	for _, v := range list {
-		if !settling[v] {
+		if h.Settled(service, v, s.now()) {
 			usable = append(usable, v)
 		}
 	}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -123,24 +123,17 @@
 	return r.shared[service]
 }
 
-// Settling returns the versions of a service that get no new streams yet; nil if there are
-// none.
-func (r *Registry) Settling(service string, now time.Duration) map[string]bool {
+// Settled reports whether a version of a service may get new streams: it has been known for
+// SettleTime, or nothing is known of the service yet.
+func (r *Registry) Settled(service, software string, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.shared[service] {
-		return nil
-	}
-	var out map[string]bool
-	for software, v := range r.services[service] {
-		if now < v.settledAt {
-			if out == nil {
-				out = map[string]bool{}
-			}
-			out[software] = true
-		}
+	versions, known := r.services[service]
+	if !known {
+		return true
 	}
-	return out
+	v, ok := versions[software]
+	return ok && now >= v.settledAt
 }
 
 // Sightings returns the versions of the services that have more than one.
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -46,8 +46,8 @@
 		return s.Slots, false
 	}
 	slots = max(1, int(float64(s.Slots)*(1-brittleMargin)))
-	if s.TakenCalls > 0 {
-		slots = min(slots, s.TakenCalls)
+	if s.AcceptedCalls > 0 {
+		slots = min(slots, s.AcceptedCalls)
 	}
 	hosts := max(p.hosts(), 1)
 	if share := (slots + hosts - 1) / hosts; s.InFlight.Calls >= share {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -20,8 +20,8 @@
 	Begin(request string, o origin.Origin)
 	// Find looks for the origin of a stream of a service, which a request began.
 	Find(ctx context.Context, service, request string) OriginResult
-	// Settling returns the versions of a service that get no new streams yet.
-	Settling(service string) map[string]bool
+	// Settled reports whether a version of a service may get new streams.
+	Settled(service, software string) bool
 }
 
 // OriginResult is the result of a search for the origin of a stream: OriginFound,
@@ -74,9 +74,9 @@
 	if known {
 		j.bindTo(found.Origin)
 	}
-	p.Metrics.Count("taken up")
+	p.Metrics.Count("resumed")
 	j.log.Info(
-		"stream taken up", zap.String("resumes", j.Resumes), zap.String("lastevent", j.LastEventID), zap.String("service", j.service.Name),
+		"stream resumed by its caller", zap.String("resumes", j.Resumes), zap.String("lastevent", j.LastEventID), zap.String("service", j.service.Name),
 		zap.Bool("known", known), zap.Bool("refused", unknown), zap.String("software", found.Software),
 		zap.Int64("took", (wire.BootTime()-started).Milliseconds()),
 	)
@@ -115,16 +115,18 @@
 // preferSettled returns the targets whose software version may get new streams, or all
 // targets if no version may.
 func (p *Proxy) preferSettled(j *job, targets []fleet.Status) []fleet.Status {
-	if j.route.Kind != opconf.Streaming || j.binding.bound {
-		return targets
-	}
-	settling := p.origins.Settling(j.service.Name)
-	if len(settling) == 0 {
+	if j.route.Kind != opconf.Streaming || j.binding.bound || sameSoftware(targets) {
 		return targets
 	}
+	settledVersions := map[string]bool{}
 	settled := make([]fleet.Status, 0, len(targets))
 	for _, s := range targets {
-		if !settling[s.Software] {
+		ok, checked := settledVersions[s.Software]
+		if !checked {
+			ok = p.origins.Settled(j.service.Name, s.Software)
+			settledVersions[s.Software] = ok
+		}
+		if ok {
 			settled = append(settled, s)
 		}
 	}
@@ -134,9 +136,19 @@
 	return settled
 }
 
+// sameSoftware reports whether all targets have one software version, as on most days.
+func sameSoftware(targets []fleet.Status) bool {
+	for _, s := range targets {
+		if s.Software != targets[0].Software {
+			return false
+		}
+	}
+	return true
+}
+
 // noOrigins is an Origins for services with one software version.
 type noOrigins struct{}
 
 func (noOrigins) Begin(string, origin.Origin)                       {}
 func (noOrigins) Find(context.Context, string, string) OriginResult { return OriginAny{} }
-func (noOrigins) Settling(string) map[string]bool                   { return nil }
+func (noOrigins) Settled(string, string) bool                       { return true }
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// Settling returns the software versions of a service that get no new streams yet.
-func (s *streamOrigins) Settling(service string) map[string]bool {
+// Settled reports whether a software version of a service may get new streams.
+func (s *streamOrigins) Settled(service, software string) bool {
 	s.observe()
-	return s.registry.Settling(service, wire.BootTime())
+	return s.registry.Settled(service, software, wire.BootTime())
 }
 
 // Find looks for the origin of a stream here and then at its owners.
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -27,6 +27,8 @@
 	// from there to the target, which is dialed for tunnelDialTimeout at most.
 	tunnelTimeout     = 350 * time.Millisecond
 	tunnelDialTimeout = 250 * time.Millisecond
+	// availableTTL is how long it is known whether a host may be asked for tunnels.
+	availableTTL = 20 * time.Millisecond
 	// hostPause is the time for which a host is not asked for tunnels after it opened none.
 	hostPause = time.Second
 )
@@ -39,6 +41,10 @@
 type pathFinder struct {
 	host   *Host
 	direct *net.Dialer
+	// availableAt is the boot time at which it was found out whether a host may be asked for
+	// tunnels, which is hasHost.
+	availableAt atomic.Int64
+	hasHost     atomic.Bool
 	// tunneled is set while kept connections may lead through other hosts.
 	tunneled atomic.Bool
 
@@ -136,7 +142,14 @@
 }
 
 // available reports whether a host may be asked for tunnels.
-func (p *pathFinder) available() bool { return len(p.candidates("")) > 0 }
+func (p *pathFinder) available() bool {
+	now := wire.BootTime()
+	if now-time.Duration(p.availableAt.Load()) >= availableTTL {
+		p.hasHost.Store(len(p.candidates("")) > 0)
+		p.availableAt.Store(int64(now))
+	}
+	return p.hasHost.Load()
+}
 
 // candidates returns the hosts to ask for a tunnel to a target: near ones first, as links
 // between regions are narrow, and among these in an order that spreads targets over them.
@@ -159,6 +172,9 @@
 
 // connect connects to a target for another host. It goes through no third host.
 func (p *pathFinder) connect(ctx context.Context, host, target string) (net.Conn, error) {
+	if p.host.draining.Load() {
+		return nil, &tunnel.ConnectError{Status: http.StatusServiceUnavailable, Problem: "the host stops"}
+	}
 	if !p.host.members.isHost(host) {
 		return nil, &tunnel.ConnectError{Status: http.StatusForbidden, Problem: "no host has this address"}
 	}
