Do not end the drain of a host before the last sixth of the grace time

Requests now have until 6.8 s again, and the final answers follow.

A spec holds the time against the users' grace time of 8 s; it failed before.

--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -25,3 +25,12 @@
 		Eventually(served, "2s", "10ms").Should(Receive(BeNil()))
 	})
 })
+
+// Guards against requests that are cut in a planned stop although their targets were not at
+// work until the last sixth of the grace time.
+var _ = Describe("the drain of a host", func() {
+	It("does not end before the last sixth of the users' grace time", func() {
+		const usersGrace = 8 * time.Second
+		Expect(drainTime(usersGrace)).To(BeNumerically(">=", usersGrace*5/6))
+	})
+})
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -45,10 +45,10 @@
 	listIntervalManyHosts = time.Second
 	maxListDrainShare     = 0.4
 	// exitMargin is the time left between the end of the drain and SIGKILL; the
-	// components of the host may take a second to stop. answerMargin is the time before it
-	// in which final answers are sent.
-	exitMargin   = 1200 * time.Millisecond
-	answerMargin = 150 * time.Millisecond
+	// components of the host may take a second to stop. Final answers are sent in the first
+	// answerTime of it.
+	exitMargin = 1200 * time.Millisecond
+	answerTime = 150 * time.Millisecond
 )
 
 // Platform is what a host needs from the shared platform: its tables, its encodings
@@ -206,6 +206,11 @@
 	return errors.Trace(t.Run(componentCtx))
 }
 
+// drainTime returns the time that requests have until the host gives their final answers.
+// The platform's rules excuse a request that is cut if its target was still at work in the
+// last sixth of the grace time, so that the drain must not end before.
+func drainTime(grace time.Duration) time.Duration { return grace - exitMargin }
+
 // drain makes the host not ready, waits until the load balancer has noticed, and waits
 // for the requests that were accepted.
 func (h *Host) drain(stop context.CancelFunc) {
@@ -214,11 +219,11 @@
 	h.proxy.CloseConnections()
 	grace := time.Duration(h.currentSettings().Grace * float64(time.Second))
 	h.log.Info("draining requests before shutdown", zap.Duration("grace", grace))
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime(grace)+answerTime)
 	defer cancel()
 	listenFor := min(balancerDetectTime, grace/2)
 	now := wire.BootTime()
-	h.proxy.Drain(now+listenFor, now+grace-exitMargin-answerMargin)
+	h.proxy.Drain(now+listenFor, now+drainTime(grace))
 	if err := pause.For(ctx, listenFor); err != nil {
 		return
 	}
