Name what goes through other hosts tunnels everywhere

fleet called it relay, which is the package that passes on the platform's tables; callers that take up a stream resume it. Names, comments and one field of the log and the state dump only; no change of behaviour.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,7 +77,7 @@
 	// last one, at refusedAt; zero if it has refused none.
 	accepted  int
 	refusedAt time.Duration
-	relay     relayState
+	tunnel    tunnelState
 }
 
 // Option changes a default of New.
@@ -96,8 +96,8 @@
 	mu       sync.Mutex
 	now      func() time.Duration
 	onChange func(Change)
-	// relay reports whether another host may connect this one to targets.
-	relay func() bool
+	// canTunnel reports whether another host may connect this one to targets.
+	canTunnel func() bool
 	// isolation caches whether this host is cut off from a service.
 	isolation map[string]isolation
 	targets   map[string]*state
@@ -113,7 +113,7 @@
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, relay: func() bool { return false }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
+	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
 	for _, o := range opts {
 		o(f)
 	}
@@ -383,7 +383,7 @@
 func (f *Fleet) status(s *state, now time.Duration) Status {
 	st := s.status(now)
 	st.OthersInFlight = f.othersInFlight(s, now)
-	if st.Relayed = f.relayed(s, now); st.Relayed {
+	if st.Tunneled = f.tunneled(s, now); st.Tunneled {
 		st.Down = false
 	}
 	return st
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -48,7 +48,7 @@
 	for _, id := range ids {
 		s, ok := f.targets[id]
 		if ok {
-			s.relay.reportedAt = now
+			s.tunnel.reportedAt = now
 		}
 		if !ok || s.down(now) || now-max(s.lastDataAt, s.connectedAt) < directEvidenceTTL {
 			continue
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -60,9 +60,9 @@
 	// Down is set while a target is excluded because it did not accept a
 	// connection, or another host reported so.
 	Down bool `json:"down"`
-	// Relayed is set while a target that this host cannot connect to itself is used
+	// Tunneled is set while a target that this host cannot connect to itself is used
 	// through another host. Down is not set then.
-	Relayed bool `json:"relayed"`
+	Tunneled bool `json:"tunneled"`
 	// RateLimit is the number of requests a second that the target takes from all hosts
 	// together; Unlimited if it names none. The log names its changes.
 	RateLimit float64 `json:"-"`
--- a/internal/fleet/relay.go
+++ b/internal/fleet/tunnel.go
@@ -12,10 +12,10 @@
 	// reportTTL is how long the report of another host counts that a target is
 	// unreachable.
 	reportTTL = 1500 * time.Millisecond
-	// minRelayPause and maxRelayPause bound the time for which a target gets no requests
+	// minTunnelPause and maxTunnelPause bound the time for which a target gets no requests
 	// after it was not reached through another host either.
-	minRelayPause = 250 * time.Millisecond
-	maxRelayPause = 2 * time.Second
+	minTunnelPause = 250 * time.Millisecond
+	maxTunnelPause = 2 * time.Second
 	// cutOffTTL is how long a connection through another host shows that targets run from
 	// which this host is cut off.
 	cutOffTTL = 3 * time.Second
@@ -29,8 +29,8 @@
 	computedAt time.Duration
 }
 
-// relayState is what a host knows of a target that it can reach through other hosts only.
-type relayState struct {
+// tunnelState is what a host knows of a target that it can reach through other hosts only.
+type tunnelState struct {
 	// failures counts the failed connections through other hosts in a row. No further one
 	// is tried until retryAt.
 	failures int
@@ -42,9 +42,9 @@
 	reportedAt time.Duration
 }
 
-// WithRelay sets the function that reports whether another host may connect this one to
+// WithTunnels sets the function that reports whether another host may connect this one to
 // targets. It must not call the fleet.
-func WithRelay(available func() bool) Option { return func(f *Fleet) { f.relay = available } }
+func WithTunnels(available func() bool) Option { return func(f *Fleet) { f.canTunnel = available } }
 
 // Isolated reports whether this host itself cannot connect to most targets of a service.
 func (f *Fleet) Isolated(service string) bool {
@@ -60,7 +60,7 @@
 	defer f.mu.Unlock()
 	targets, now := f.services[service], f.now()
 	return isolated(targets) && slices.ContainsFunc(targets, func(s *state) bool {
-		return s.relay.reachedAt != 0 && now-s.relay.reachedAt < cutOffTTL
+		return s.tunnel.reachedAt != 0 && now-s.tunnel.reachedAt < cutOffTTL
 	})
 }
 
@@ -91,37 +91,37 @@
 
 // relayed reports whether a target that this host itself cannot reach is used through
 // another host.
-func (f *Fleet) relayed(s *state, now time.Duration) bool {
-	return s.connectFailures > 0 && now >= s.relay.retryAt && (s.relay.reportedAt == 0 || now-s.relay.reportedAt >= reportTTL) &&
-		f.recentlyIsolated(s.Service, now) && f.relay()
+func (f *Fleet) tunneled(s *state, now time.Duration) bool {
+	return s.connectFailures > 0 && now >= s.tunnel.retryAt && (s.tunnel.reportedAt == 0 || now-s.tunnel.reportedAt >= reportTTL) &&
+		f.recentlyIsolated(s.Service, now) && f.canTunnel()
 }
 
-// RelayTarget returns the ID of the target at an address if it is used through another
+// TunnelTarget returns the ID of the target at an address if it is used through another
 // host now.
-func (f *Fleet) RelayTarget(address string) (id string, ok bool) {
+func (f *Fleet) TunnelTarget(address string) (id string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	for _, s := range f.targets {
-		if s.Address == address && f.relayed(s, now) {
+		if s.Address == address && f.tunneled(s, now) {
 			return s.ID, true
 		}
 	}
 	return "", false
 }
 
-// RecordRelay records whether a target was reached through another host.
-func (f *Fleet) RecordRelay(id string, ok bool) {
+// RecordTunnel records whether a target was reached through another host.
+func (f *Fleet) RecordTunnel(id string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, known := f.targets[id]
 	switch {
 	case !known:
 	case ok:
-		s.relay.failures, s.relay.retryAt, s.relay.reachedAt = 0, 0, f.now()
+		s.tunnel.failures, s.tunnel.retryAt, s.tunnel.reachedAt = 0, 0, f.now()
 	default:
-		s.relay.failures++
-		s.relay.retryAt = f.now() + min(minRelayPause<<min(s.relay.failures-1, 3), maxRelayPause)
+		s.tunnel.failures++
+		s.tunnel.retryAt = f.now() + min(minTunnelPause<<min(s.tunnel.failures-1, 3), maxTunnelPause)
 		f.onChange(Change{Target: *s.Target, Event: "unreachable through other hosts"})
 	}
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -40,7 +40,7 @@
 	g.Expect(r.Settled("other", "v1", 0)).To(BeTrue())
 }
 
-// Guards against a version that is forgotten while streams that it began may be taken up,
+// Guards against a version that is forgotten while streams that it began may be resumed,
 // and one that is never forgotten.
 func TestVanishedVersionCountsForRetention(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -116,7 +116,7 @@
 }
 
 // Mixed reports whether targets of more than one software version of a service may have
-// begun the streams that are taken up now.
+// begun the streams that are resumed now.
 func (r *Registry) Mixed(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -157,8 +157,8 @@
 	if j.route.Kind == opconf.Streaming {
 		fields = append(fields, zap.String("software", c.Software), zap.String("resumes", j.Resumes), zap.String("lastevent", j.order.lastID()))
 	}
-	if c.Relayed {
-		fields = append(fields, zap.Bool("relayed", true))
+	if c.Tunneled {
+		fields = append(fields, zap.Bool("tunneled", true))
 	}
 	if c.RateLimit != fleet.Unlimited {
 		fields = append(fields, zap.Float64("limit", c.RateLimit))
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -61,7 +61,7 @@
 	return err == nil || j.Resumes != ""
 }
 
-// bindToOrigin binds a request that takes up a stream to the software version that began
+// bindToOrigin binds a request that resumes a stream to the software version that began
 // it. It returns false if that version is unknown.
 func (p *Proxy) bindToOrigin(ctx context.Context, j *job) bool {
 	if !j.continues() {
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -143,7 +143,7 @@
 	}
 	h.paths = newPathFinder(h)
 	h.tunnels = tunnel.NewServer(h.paths.connect)
-	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithRelay(h.paths.available))
+	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithTunnels(h.paths.available))
 	h.crashes = crash.New()
 	h.origins = newStreamOrigins(h)
 	h.catalog = kvcat.NewCatalog(s.Zones, kvcat.WithLog(h.log), kvcat.WithPermissions(h.allowKVTransfer))
--- a/internal/server/leased_task.go
+++ b/internal/server/leased_task.go
@@ -191,7 +191,7 @@
 			for _, model := range v.Engine.Models {
 				out = append(out, roll.Engine{
 					ID: t.ID, Address: t.Address, Service: v.Name, Model: model,
-					Version: t.Versions[model], Calls: t.InFlight.Calls + t.OthersInFlight.Calls, Down: t.Down || t.Relayed,
+					Version: t.Versions[model], Calls: t.InFlight.Calls + t.OthersInFlight.Calls, Down: t.Down || t.Tunneled,
 				})
 			}
 		}
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -39,7 +39,7 @@
 	listTTL    = 3 * time.Second
 )
 
-// streamOrigins finds out which software version began a stream that a caller takes up.
+// streamOrigins finds out which software version began a stream that a caller resumes.
 type streamOrigins struct {
 	host     *Host
 	registry *origin.Registry
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -59,8 +59,8 @@
 
 // DialContext connects to the target at an address.
 func (p *pathFinder) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	target, relayed := p.host.fleet.RelayTarget(address)
-	if !relayed {
+	target, tunneled := p.host.fleet.TunnelTarget(address)
+	if !tunneled {
 		return p.direct.DialContext(ctx, network, address)
 	}
 	return p.dialThrough(ctx, target)
@@ -92,7 +92,7 @@
 		var conn net.Conn
 		if conn, err = p.tryHost(ctx, h.Peer, target); err == nil {
 			p.tunneled.Store(true)
-			p.host.fleet.RecordRelay(target, true)
+			p.host.fleet.RecordTunnel(target, true)
 			p.host.proxy.Metrics.Count("tunnel")
 			return conn, nil
 		}
@@ -110,7 +110,7 @@
 		}
 	}
 	if unreachable > 0 {
-		p.host.fleet.RecordRelay(target, false)
+		p.host.fleet.RecordTunnel(target, false)
 	}
 	return nil, err
 }
@@ -182,7 +182,7 @@
 	switch {
 	case !ok || t.Leaving:
 		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: "the target is not listed or leaves"}
-	case t.Relayed || p.host.fleet.Isolated(t.Service):
+	case t.Tunneled || p.host.fleet.Isolated(t.Service):
 		return nil, &tunnel.ConnectError{Status: http.StatusServiceUnavailable, Problem: "the host itself has no path to the targets"}
 	case t.Down:
 		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: "the target cannot be reached"}
