Do not leave out a host for tunnels because a request has ended

A caller that left while its request opened a tunnel made the host that was asked count as one without a path for a second. Found by reading; no test of its own.

--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -96,6 +96,9 @@
 			p.host.proxy.Metrics.Count("tunnel")
 			return conn, nil
 		}
+		if ctx.Err() != nil {
+			return nil, err // the request has ended, which says nothing about the host
+		}
 		p.host.proxy.Metrics.Count("tunnel refused")
 		var refused *tunnel.RefusedError
 		if errors.As(err, &refused) && refused.TargetUnreachable() {
@@ -105,9 +108,6 @@
 			continue
 		}
 		p.pause(h.Host, err)
-		if ctx.Err() != nil {
-			return nil, err
-		}
 	}
 	if unreachable > 0 {
 		p.host.fleet.RecordTunnel(target, false)
