--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -86,7 +86,7 @@
 
 // dialThrough connects to a target through another host.
 func (p *pathFinder) dialThrough(ctx context.Context, target string) (net.Conn, error) {
-	var err error = errNoTunnel
+	err := errNoTunnel
 	unreachable := 0
 	for _, h := range p.candidates(target) {
 		var conn net.Conn
