Bind a resumed stream to the only software version at once; new versions wait

A request that resumes a stream is now bound to the only version that is known, and refused if none is. For the same reason new streams do not go to a version that has just appeared because no target of the others can take one now: only if none of them serves.

TestStreamResumedBeforeSecondVersion and TestNewVersionWaitsWhileOthersFail failed before.

--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -123,6 +123,19 @@
 	return r.shared[service]
 }
 
+// Only returns the software version of a service if no other one may have begun the streams
+// that are resumed now; false if there is another, or none is known.
+func (r *Registry) Only(service string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.services[service]) == 1 {
+		for software := range r.services[service] {
+			return software, true
+		}
+	}
+	return "", false
+}
+
 // Settled reports whether a version of a service may get new streams: it has been known for
 // SettleTime, or nothing is known of the service yet.
 func (r *Registry) Settled(service, software string, now time.Duration) bool {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 
 	"go.uber.org/zap"
@@ -24,22 +25,18 @@
 	Settled(service, software string) bool
 }
 
-// OriginResult is the result of a search for the origin of a stream: OriginFound,
-// OriginAny or OriginUnknown.
+// OriginResult is the result of a search for the origin of a stream: OriginFound or
+// OriginUnknown.
 type OriginResult interface{ originResult() }
 
-// OriginFound carries the origin of a stream.
+// OriginFound carries the origin of a stream, which is known or the only one possible.
 type OriginFound struct{ origin.Origin }
 
-// OriginAny says that the service has only one software version.
-type OriginAny struct{}
-
 // OriginUnknown says that the service has more than one software version and that no host
 // knows which of them began the stream.
 type OriginUnknown struct{}
 
 func (OriginFound) originResult()   {}
-func (OriginAny) originResult()     {}
 func (OriginUnknown) originResult() {}
 
 // binding is the software version at which a stream has to go on. The zero value binds it
@@ -70,17 +67,16 @@
 	started := wire.BootTime()
 	result := p.origins.Find(ctx, j.service.Name, j.Resumes)
 	found, known := result.(OriginFound)
-	_, unknown := result.(OriginUnknown)
 	if known {
 		j.bindTo(found.Origin)
 	}
 	p.Metrics.Count("resumed")
 	j.log.Info(
 		"stream resumed by its caller", zap.String("resumes", j.Resumes), zap.String("lastevent", j.LastEventID), zap.String("service", j.service.Name),
-		zap.Bool("known", known), zap.Bool("refused", unknown), zap.String("software", found.Software),
+		zap.Bool("known", known), zap.String("software", found.Software),
 		zap.Int64("took", (wire.BootTime()-started).Milliseconds()),
 	)
-	return !unknown
+	return known
 }
 
 // bindTo binds a request to an origin. If the route leads to the service of the origin
@@ -112,10 +108,13 @@
 	}
 }
 
-// preferSettled returns the targets whose software version may get new streams, or all
-// targets if no version may.
+// preferSettled returns the targets whose software version may get new streams; all targets
+// if no such version serves.
 func (p *Proxy) preferSettled(j *job, targets []fleet.Status) []fleet.Status {
-	if j.route.Kind != opconf.Streaming || j.binding.bound || sameSoftware(targets) {
+	if j.route.Kind != opconf.Streaming || j.binding.bound || len(targets) == 0 {
+		return targets
+	}
+	if sameSoftware(targets) && p.origins.Settled(j.service.Name, targets[0].Software) {
 		return targets
 	}
 	settledVersions := map[string]bool{}
@@ -130,12 +129,18 @@
 			settled = append(settled, s)
 		}
 	}
-	if len(settled) == 0 {
+	if len(settled) == 0 && !p.servesSettled(j.service.Name) {
 		return targets
 	}
 	return settled
 }
 
+// servesSettled reports whether a software version that may get new streams serves, whether
+// or not its targets can take a request now.
+func (p *Proxy) servesSettled(service string) bool {
+	return slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool { return p.origins.Settled(service, s.Software) })
+}
+
 // sameSoftware reports whether all targets have one software version, as on most days.
 func sameSoftware(targets []fleet.Status) bool {
 	for _, s := range targets {
@@ -149,6 +154,8 @@
 // noOrigins is an Origins for services with one software version.
 type noOrigins struct{}
 
-func (noOrigins) Begin(string, origin.Origin)                       {}
-func (noOrigins) Find(context.Context, string, string) OriginResult { return OriginAny{} }
-func (noOrigins) Settled(string, string) bool                       { return true }
+func (noOrigins) Begin(string, origin.Origin) {}
+func (noOrigins) Find(_ context.Context, service, _ string) OriginResult {
+	return OriginFound{origin.Origin{Service: service}}
+}
+func (noOrigins) Settled(string, string) bool { return true }
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -109,8 +109,8 @@
 	if o, ok := s.registry.Find(key); ok && request != "" {
 		return proxy.OriginFound{Origin: o}
 	}
-	if !s.registry.Mixed(service) && s.knowsVersions() {
-		return proxy.OriginAny{}
+	if only, ok := s.registry.Only(service); ok && s.knowsVersions() {
+		return proxy.OriginFound{Origin: origin.Origin{Service: service, Software: only}}
 	}
 	if request == "" {
 		return proxy.OriginUnknown{}
@@ -134,8 +134,8 @@
 	if o, ok := s.registry.Find(key); ok {
 		return proxy.OriginFound{Origin: o}
 	}
-	if !s.registry.Mixed(service) && s.knowsVersions() {
-		return proxy.OriginAny{}
+	if only, ok := s.registry.Only(service); ok && s.knowsVersions() {
+		return proxy.OriginFound{Origin: origin.Origin{Service: service, Software: only}}
 	}
 	return proxy.OriginUnknown{}
 }
