--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,11 +69,11 @@
 	// remote is the sum of the in-flight loads that the other hosts report.
 	remote InFlight
 	// limit is the target's rate limit, refusals the number of refusals in a second that it
-	// bears while it is brittle.
+	// can give without crashing.
 	limit, refusals observedLimit
 	// pausedUntil is the time until which the target gets no requests of this host.
 	pausedUntil time.Duration
-	// accepted is the number of calls that a brittle target had accepted when it refused the
+	// accepted is the number of calls that a target with a refusal limit had accepted when it refused the
 	// last one, at refusedAt; zero if it has refused none.
 	accepted  int
 	refusedAt time.Duration
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -15,7 +15,7 @@
 	// at least rateLimitRequests requests of the target.
 	rateLimitTTL      = 10 * time.Second
 	rateLimitRequests = 20
-	// acceptRaiseInterval is the time after which one more call than a brittle target has
+	// acceptRaiseInterval is the time after which one more call than a target has
 	// shown to take is tried. After maxAcceptRaise of them its refusals do not count any more.
 	acceptRaiseInterval = 2 * time.Second
 	maxAcceptRaise      = 20
@@ -54,7 +54,7 @@
 	}
 	refusalLimit = limitKind{
 		of:    func(s *state) *observedLimit { return &s.refusals },
-		ended: "is not brittle any more", named: "is brittle: it can refuse %g requests per second",
+		ended: "names no refusal limit any more", named: "names a limit of %g refusals per second",
 	}
 )
 
@@ -76,8 +76,8 @@
 	f.recordLimit(rateLimit, id, perSecond)
 }
 
-// RecordRefusalLimit records how many requests a brittle target can refuse in a second
-// without falling over, as it says in an answer; Unlimited if it is not brittle.
+// RecordRefusalLimit records how many requests a target can refuse in a second without
+// crashing, as it says in an answer; Unlimited if it names no such limit.
 func (f *Fleet) RecordRefusalLimit(id string, perSecond float64) {
 	f.recordLimit(refusalLimit, id, perSecond)
 }
@@ -93,8 +93,8 @@
 // RecordRemoteRateLimits records the rate limits that targets have named to other hosts.
 func (f *Fleet) RecordRemoteRateLimits(limits map[string]Limit) { f.recordRemote(rateLimit, limits) }
 
-// RecordRemoteRefusalLimits records which targets have said to other hosts that they are
-// brittle.
+// RecordRemoteRefusalLimits records the refusal limits that targets have named to other
+// hosts.
 func (f *Fleet) RecordRemoteRefusalLimits(limits map[string]Limit) {
 	f.recordRemote(refusalLimit, limits)
 }
@@ -132,7 +132,7 @@
 // by target.
 func (f *Fleet) RateLimits() map[string]Limit { return f.limits(rateLimit) }
 
-// RefusalLimits returns the same for the targets that are brittle.
+// RefusalLimits returns the same for the limits of refusals.
 func (f *Fleet) RefusalLimits() map[string]Limit { return f.limits(refusalLimit) }
 
 func (f *Fleet) limits(k limitKind) map[string]Limit {
@@ -157,7 +157,7 @@
 	return out
 }
 
-// RecordRefusal records that a brittle target has refused a request: it takes fewer calls
+// RecordRefusal records that a target with a refusal limit has refused a request: it takes fewer calls
 // than were in flight, and gets none of this host for a pause.
 func (f *Fleet) RecordRefusal(id string, pause time.Duration) {
 	f.mu.Lock()
@@ -175,7 +175,7 @@
 	s.pausedUntil = max(s.pausedUntil, now+pause)
 }
 
-// acceptedCalls returns how many calls a brittle target takes at once, as its refusals show;
+// acceptedCalls returns how many calls a target with a refusal limit takes at once, as its refusals show;
 // zero if it has refused none lately. One more is tried after each acceptRaiseInterval.
 func (s *state) acceptedCalls(now time.Duration) int {
 	raised := int((now - s.refusedAt) / acceptRaiseInterval)
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -67,10 +67,10 @@
 	// together; Unlimited if it names none. The log names its changes.
 	RateLimit float64 `json:"-"`
 	// RefusalLimit is the number of requests that the target can refuse in a second without
-	// falling over; Unlimited if it is not brittle.
+	// crashing; Unlimited if it names no such limit.
 	RefusalLimit float64 `json:"-"`
-	// AcceptedCalls is the number of calls that a brittle target takes at once, as its refusals
-	// show; zero if that is unknown.
+	// AcceptedCalls is the number of calls that a target with a refusal limit takes at once, as
+	// its refusals show; zero if that is unknown.
 	AcceptedCalls int `json:"accepted"`
 	// PausedFor is the time for which the target gets no requests of this host.
 	PausedFor time.Duration `json:"paused"`
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -75,7 +75,7 @@
 	Crashes []crash.Record `cbor:"12,keyasint,omitempty"`
 	// RateLimits are the limits that targets have named, by target.
 	RateLimits map[string]fleet.Limit `cbor:"13,keyasint,omitempty"`
-	// RefusalLimits are the numbers of refusals in a second that brittle targets bear, by
+	// RefusalLimits are the numbers of refusals in a second that targets name as their limit, by
 	// target.
 	RefusalLimits map[string]fleet.Limit `cbor:"23,keyasint,omitempty"`
 	// SentMs is the time on the platform's clock at which the message was sent; zero if
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -33,8 +33,8 @@
 	Room       int
 	Unread     int
 	FetchingMs float64
-	// Brittle is set if no requests may queue at the target.
-	Brittle bool
+	// NoQueue is set if no requests may queue at the target.
+	NoQueue bool
 	// Risk is the share of recent attempts that failed.
 	Risk float64
 	// Down is set if the target refused a connection a short time ago.
@@ -197,7 +197,7 @@
 	return pick(cs, func(_ int, c Candidate) (float64, bool) {
 		cost := k.base(c) + k.PlainCallMs*float64(c.Calls)
 		extra := k.ExtraCalls
-		if c.Brittle {
+		if c.NoQueue {
 			extra = 0
 		}
 		return cost, c.Slots <= 0 || c.Calls < c.Slots+extra
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -80,9 +80,9 @@
 // candidate describes a target for the placement. It caches lookups by namespace.
 func (p *Proxy) candidate(j *job, s fleet.Status, lookups map[string]CachedParts) place.Candidate {
 	total := s.InFlight.Add(s.OthersInFlight)
-	slots, brittle := p.usableSlots(s, total.Calls)
+	slots, noQueue := p.usableSlots(s, total.Calls)
 	c := place.Candidate{
-		ID: s.ID, Distance: p.distance(s.Zone), Calls: total.Calls, Slots: slots, Brittle: brittle, Tokens: total.Tokens,
+		ID: s.ID, Distance: p.distance(s.Zone), Calls: total.Calls, Slots: slots, NoQueue: noQueue, Tokens: total.Tokens,
 		Unread: total.PrefillTokens, FetchingMs: p.planner.FetchMs(total.FetchTokens), Risk: s.FailureRate, Down: s.Down,
 	}
 	if j.Prompt == nil {
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -17,19 +17,19 @@
 const maxBuckets = 4096
 
 const (
-	// refusalShare is the share of the refusals that a brittle target bears which the hosts
+	// refusalShare is the share of the refusal limit of a target which the hosts
 	// cause together.
 	refusalShare = 0.5
 	// maxRefusalPause bounds the pause after a refusal, minRefusalPause is the least one.
 	minRefusalPause = 500 * time.Millisecond
 	maxRefusalPause = 10 * time.Second
-	// brittleMargin is the share of the slots of a brittle target that stays free, as other
+	// slotMargin is the share of the slots of a target with a refusal limit that stays free, as other
 	// hosts may send to it at the same moment.
-	brittleMargin = 0.15
+	slotMargin = 0.15
 )
 
-// refusalPause returns for how long this host sends nothing to a brittle target that has
-// refused a request, so that all hosts together cause a share of what it bears.
+// refusalPause returns for how long this host sends nothing to a target with a refusal
+// limit that has refused a request, so that all hosts together cause a share of the limit.
 func (p *Proxy) refusalPause(limit float64) time.Duration {
 	pause := time.Duration(float64(p.hosts()) / max(refusalShare*limit, math.SmallestNonzeroFloat32) * float64(time.Second))
 	if pause < 0 || pause > maxRefusalPause {
@@ -38,14 +38,14 @@
 	return max(pause, minRefusalPause)
 }
 
-// usableSlots returns the slots of a target that may be used, and whether the target is
-// brittle, so that no requests may wait there. Of a brittle target each host uses an equal
-// share, as hosts that send at the same moment do not know of each other's requests.
-func (p *Proxy) usableSlots(s fleet.Status, calls int) (slots int, brittle bool) {
+// usableSlots returns the slots of a target that may be used, and whether no requests may
+// wait there, as it has a refusal limit. Of such a target each host uses an equal share, as
+// hosts that send at the same moment do not know of each other's requests.
+func (p *Proxy) usableSlots(s fleet.Status, calls int) (slots int, noQueue bool) {
 	if s.RefusalLimit == fleet.Unlimited || s.Slots <= 0 {
 		return s.Slots, false
 	}
-	slots = max(1, int(float64(s.Slots)*(1-brittleMargin)))
+	slots = max(1, int(float64(s.Slots)*(1-slotMargin)))
 	if s.AcceptedCalls > 0 {
 		slots = min(slots, s.AcceptedCalls)
 	}
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -120,7 +120,7 @@
 	// together; fleet.Unlimited if it names none.
 	RateLimit float64
 	// RefusalLimit is the number of requests that the target can refuse in a second without
-	// falling over; fleet.Unlimited if it is not brittle.
+	// crashing; fleet.Unlimited if it names no such limit.
 	RefusalLimit float64
 	// Version is the weight version that ran the request; zero if the target does
 	// not state it.
