--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -18,6 +18,7 @@
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/kvcat"
+	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -57,6 +58,31 @@
 		Expect(m.hostCount()).To(Equal(assumedHosts))
 	})
 
+	// Guards against a stream whose owners a host does not find, as hosts choose others for
+	// it, and against a record for each of many hosts.
+	It("agree on the few hosts that remember a stream", func() {
+		var names []string
+		for i := range 330 {
+			names = append(names, fmt.Sprintf("host-%03d", i))
+		}
+		addRows(time.Minute, names...)
+		m.readAt = time.Minute
+		for n := range 20 {
+			key := origin.NewKey(fmt.Sprint("stream-", n))
+			m.host.settings.Name = "none of them"
+			owners := m.ownersOf(key)
+			Expect(owners).To(HaveLen(originOwners))
+			for _, name := range names[:10] {
+				m.host.settings.Name = name
+				own := m.ownersOf(key)
+				Expect(own).To(HaveLen(originOwners))
+				if !slices.Contains(owners, name+":1") {
+					Expect(own).To(ConsistOf(owners))
+				}
+			}
+		}
+	})
+
 	// Guards against stores and a lease row that each of many hosts polls.
 	It("select few hosts that poll the stores and contend for the lease", func() {
 		addRows(time.Minute, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
