Remove a method that only tests used; correct three comments

Registry.Mixed was left without a caller when resumed streams were bound to the only version; its tests use Only, which production calls, and also check which version it names. The package comment of origin still said that any target may go on with a stream. No change of behaviour.

--- a/internal/fleet/tunnel.go
+++ b/internal/fleet/tunnel.go
@@ -64,7 +64,8 @@
 	})
 }
 
-// recentlyIsolated returns the same, as computed within isolationTTL.
+// recentlyIsolated reports whether this host cannot connect to most targets of a service,
+// as computed within isolationTTL.
 func (f *Fleet) recentlyIsolated(service string, now time.Duration) bool {
 	i, ok := f.isolation[service]
 	if !ok || now-i.computedAt >= isolationTTL {
@@ -89,7 +90,7 @@
 	return failed > 0 && float64(failed) > isolationShare*float64(listed)
 }
 
-// relayed reports whether a target that this host itself cannot reach is used through
+// tunneled reports whether a target that this host itself cannot reach is used through
 // another host.
 func (f *Fleet) tunneled(s *state, now time.Duration) bool {
 	return s.connectFailures > 0 && now >= s.tunnel.retryAt && (s.tunnel.reportedAt == 0 || now-s.tunnel.reportedAt >= reportTTL) &&
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -5,7 +5,7 @@
 // request that brought its first event, mostly at another host. Each host remembers the
 // streams that it has begun. While a service has more than one version, it also sends
 // them to a few other hosts, its owners, which a host with an unknown stream queries.
-// While there is one version, nothing is sent: any target may go on with any stream.
+// While there is one version, nothing is sent: it is the origin of every stream.
 //
 // A version that appears gets new streams only after SettleTime, in which all hosts learn
 // of it, so that no host takes it for the only one. A version that has vanished counts
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -47,9 +47,12 @@
 	r := New()
 	r.Observe(listed("v1", "v2"), time.Second)
 	r.Observe(listed("v2"), 2*time.Second)
-	g.Expect(r.Mixed(service)).To(BeTrue())
+	_, single := r.Only(service)
+	g.Expect(single).To(BeFalse())
 	r.Observe(listed("v2"), time.Second+Retention)
-	g.Expect(r.Mixed(service)).To(BeFalse())
+	only, single := r.Only(service)
+	g.Expect(single).To(BeTrue())
+	g.Expect(only).To(Equal("v2"))
 }
 
 func toAll(Key) []string { return []string{"all"} }
@@ -136,8 +139,8 @@
 				if o, ok := h.Find(NewKey(taken.id)); ok && o.Software != taken.software {
 					t.Fatalf("host %d found version %s of a stream that %s began", i, o.Software, taken.software)
 				}
-				if now := s.lists[max(s.step-s.listLag[i], 0)]; !h.Mixed(service) && now[0] != taken.software {
-					t.Fatalf("host %d takes %s for the only version, but %s began %s", i, now[0], taken.software, taken.id)
+				if only, single := h.Only(service); single && only != taken.software {
+					t.Fatalf("host %d takes %s for the only version, but %s began %s", i, only, taken.software, taken.id)
 				}
 			}
 		}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -115,14 +115,6 @@
 	}
 }
 
-// Mixed reports whether targets of more than one software version of a service may have
-// begun the streams that are resumed now.
-func (r *Registry) Mixed(service string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.shared[service]
-}
-
 // Only returns the software version of a service if no other one may have begun the streams
 // that are resumed now; false if there is another, or none is known.
 func (r *Registry) Only(service string) (string, bool) {
