Let a lease holder without requests find out that it is cut off

Cause: a host learns that it is cut off from engines that other hosts reach by connecting to them through another host, which only requests did. A lease holder without callers, or one whose other host was paused after a failed tunnel while callers sent, kept the lease, and engines stayed at old weights while the cut lasted.

Change: an engine that sends the lease holder no weight report is probed, and a contender that cannot connect to most engines tries two of them through other hosts at each check of the lease.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -273,6 +273,18 @@
 		Expect(f.Unreachable()).To(Equal([]string{"a"}))
 	})
 
+	// Guards against a host without requests that never learns that it reaches no target.
+	It("probes a target that gave this host no answer, unless it sent data lately", func() {
+		f.ProbeSoon("a")
+		due := f.DueProbes()
+		Expect(due).To(HaveLen(1))
+		f.RecordProbe(due[0], false)
+		Expect(f.Unreachable()).To(Equal([]string{"a"}))
+		f.Begin("b", fleet.InFlight{}).RecordData()
+		f.ProbeSoon("b")
+		Expect(f.DueProbes()).To(BeEmpty())
+	})
+
 	// Guards against a host that is cut off, or reports wrongly, and thereby excludes
 	// targets on all hosts.
 	It("prefers its own connections and data over reports of another host", func() {
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -50,14 +50,35 @@
 		if ok {
 			s.tunnel.reportedAt = now
 		}
-		if !ok || s.down(now) || now-max(s.lastDataAt, s.connectedAt) < directEvidenceTTL {
-			continue
+		if ok && s.worthProbing(now) {
+			f.suspect(s, now, host)
 		}
-		s.suspected, s.downUntil = true, now+minDownTime
-		f.onChange(Change{Target: *s.Target, Event: "suspected by " + host})
 	}
 }
 
+// ProbeSoon excludes a target that gave no answer until a probe of this host succeeds,
+// unless it has sent data lately.
+func (f *Fleet) ProbeSoon(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	if s, ok := f.targets[id]; ok && s.worthProbing(now) {
+		f.suspect(s, now, "this host")
+	}
+}
+
+// worthProbing reports whether a doubt about a target counts: it is not excluded already, and
+// nothing has shown lately that this host reaches it.
+func (s *state) worthProbing(now time.Duration) bool {
+	return !s.down(now) && now-max(s.lastDataAt, s.connectedAt) >= directEvidenceTTL
+}
+
+// suspect excludes a target until a probe of this host succeeds.
+func (f *Fleet) suspect(s *state, now time.Duration, by string) {
+	s.suspected, s.downUntil = true, now+minDownTime
+	f.onChange(Change{Target: *s.Target, Event: "suspected by " + by})
+}
+
 // Unreachable returns the targets to which this host itself failed to connect; none if
 // those are most of all targets, as the host is then more likely cut off itself.
 func (f *Fleet) Unreachable() []string {
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -123,6 +123,7 @@
 	desired       func() map[string]int
 	listEngines   func() []Engine
 	recordVersion func(target, model string, version int)
+	reportFailed  func(target string)
 	log           *zap.Logger
 
 	mu      sync.Mutex
@@ -154,13 +155,16 @@
 	Engines         func() []Engine
 	// RecordVersion receives the version that an engine reports.
 	RecordVersion func(target, model string, version int)
+	// ReportFailed receives each engine that was to be ordered and sent no report.
+	ReportFailed func(target string)
 }
 
 // New returns a roller of a host.
 func New(host string, f Lease, e Engines, b Publisher, s Source, opts ...Option) *Roller {
 	r := &Roller{
 		host: host, lease: f, engines: e, publisher: b, desired: s.DesiredVersions, listEngines: s.Engines, recordVersion: s.RecordVersion,
-		log: zap.NewNop(), loading: map[string]bool{}, notBefore: map[string]time.Duration{},
+		reportFailed: s.ReportFailed,
+		log:          zap.NewNop(), loading: map[string]bool{}, notBefore: map[string]time.Duration{},
 		loaded: map[string]loadedEngine{},
 	}
 	for _, o := range opts {
@@ -271,6 +275,7 @@
 	before, err := r.report(ctx, e)
 	if err != nil {
 		r.log.Warn("engine sent no weight report; no order sent", zap.String("target", e.ID), zap.Error(err))
+		r.reportFailed(e.ID)
 		return 0
 	}
 	if loaded := r.loadedVersion(e, before, version); loaded > 0 {
--- a/internal/roll/roll_test.go
+++ b/internal/roll/roll_test.go
@@ -109,6 +109,7 @@
 			return []roll.Engine{{ID: "e0", Service: "llm", Model: "m", Version: f.version}}
 		},
 		RecordVersion: func(string, string, int) {},
+		ReportFailed:  func(string) {},
 	}
 }
 
--- a/internal/server/leased_task.go
+++ b/internal/server/leased_task.go
@@ -110,7 +110,7 @@
 		lease.WithTiming(leaseTTL, leaseMargin, h.settings.takeoverDelay()), lease.WithInterval(leaseRenewInterval), lease.WithWatchInterval(leaseWatchInterval),
 		lease.WithTimeout(leaseTimeout),
 	)
-	source := roll.Source{DesiredVersions: h.config.latestVersions, Engines: l.engines, RecordVersion: h.fleet.RecordVersion}
+	source := roll.Source{DesiredVersions: h.config.latestVersions, Engines: l.engines, RecordVersion: h.fleet.RecordVersion, ReportFailed: h.fleet.ProbeSoon}
 	l.roller = roll.New(h.settings.Name, l.lease, h.platform.TargetClient(), l, source, roll.WithLog(h.log))
 	return l
 }
@@ -136,7 +136,7 @@
 // mayHoldLease reports whether this host should hold the lease: it is one of the
 // contenders, and is not cut off from engines that other hosts reach. Orders never go
 // through another host, as targets take them for those of a second holder.
-func (l *leasedTask) mayHoldLease() bool {
+func (l *leasedTask) mayHoldLease(ctx context.Context) bool {
 	if !l.host.members.isContender() {
 		return false
 	}
@@ -145,7 +145,7 @@
 		return true
 	}
 	for _, s := range config.Services {
-		if s.Engine != nil && l.host.fleet.CutOff(s.Name) {
+		if s.Engine != nil && l.host.paths.cutOff(ctx, s.Name) {
 			return false
 		}
 	}
@@ -156,7 +156,7 @@
 // Otherwise it releases the lease.
 func (l *leasedTask) contendForLease(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !l.mayHoldLease() {
+		if !l.mayHoldLease(ctx) {
 			if pause.For(ctx, contendCheckInterval) != nil {
 				break
 			}
@@ -165,7 +165,7 @@
 		contendCtx, stop := context.WithCancel(ctx)
 		go func() {
 			for pause.For(contendCtx, contendCheckInterval) == nil {
-				if !l.mayHoldLease() {
+				if !l.mayHoldLease(contendCtx) {
 					stop()
 				}
 			}
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,6 +30,9 @@
 	tunnelDialTimeout = 250 * time.Millisecond
 	// availableTTL is how long it is known whether a host may be asked for tunnels.
 	availableTTL = 20 * time.Millisecond
+	// maxCutOffTries is the number of targets to which a tunnel is tried to find out
+	// whether this host is cut off.
+	maxCutOffTries = 2
 	// hostPause is the time for which a host is not asked for tunnels after it opened none.
 	hostPause = time.Second
 )
@@ -84,6 +88,24 @@
 	return proxy.ReachUnknown
 }
 
+// cutOff finds out whether this host is cut off from targets of a service that other hosts
+// reach. A host without requests to these has to try.
+func (p *pathFinder) cutOff(ctx context.Context, service string) bool {
+	if !p.host.fleet.Isolated(service) {
+		return false
+	}
+	targets := p.host.fleet.Serving(service)
+	for _, i := range rand.Perm(len(targets))[:min(maxCutOffTries, len(targets))] {
+		if p.host.fleet.CutOff(service) {
+			return true
+		}
+		if conn, err := p.dialThrough(ctx, targets[i].ID); err == nil {
+			_ = conn.Close() // an unused connection
+		}
+	}
+	return p.host.fleet.CutOff(service)
+}
+
 // dialThrough connects to a target through another host.
 func (p *pathFinder) dialThrough(ctx context.Context, target string) (net.Conn, error) {
 	err := errNoTunnel
