Withdraw requests that an outdated engine may not have begun before the bound

Change: 0.7 s before the bound a host cancels attempts at engines with older weights that have sent no event, unless the engine has reported an empty queue since; they go on at another target, within the retry budget. Requests that may not be repeated stay, as nothing says that they have not begun.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -273,6 +273,20 @@
 		Expect(f.Unreachable()).To(Equal([]string{"a"}))
 	})
 
+	// Guards against requests that are withdrawn from an engine which has begun them, and
+	// against trusting a report that is older than the request.
+	It("takes only a later report of an empty queue for a begun request", func() {
+		a := f.Begin("a", fleet.InFlight{})
+		sent := now
+		f.RecordLoad("a", fleet.Load{Running: 1})
+		Expect(a.QueueEmptySince(sent)).To(BeFalse())
+		now += time.Second
+		f.RecordLoad("a", fleet.Load{Running: 1, Waiting: 1})
+		Expect(a.QueueEmptySince(sent)).To(BeFalse())
+		f.RecordLoad("a", fleet.Load{Running: 1})
+		Expect(a.QueueEmptySince(sent)).To(BeTrue())
+	})
+
 	// Guards against a host without requests that never learns that it reaches no target.
 	It("probes a target that gave this host no answer, unless it sent data lately", func() {
 		f.ProbeSoon("a")
--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -39,6 +39,8 @@
 
 // Sender roles.
 const (
+	// loadReportLag is how far a load report may lag behind the state of its target.
+	loadReportLag = 500 * time.Millisecond
 	// Peer reports its own load to every host itself.
 	Peer SenderRole = iota
 	// Follower reports to this host only, which passes the load on to the others.
@@ -101,6 +103,14 @@
 	return !a.ended && a.state.waiting == 0
 }
 
+// QueueEmptySince reports whether a load report that was made after a boot time shows that
+// no request waits at the target.
+func (a *Attempt) QueueEmptySince(since time.Duration) bool {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	return !a.ended && a.state.waiting == 0 && a.state.loadReportedAt > since+loadReportLag
+}
+
 // End records the outcome of the attempt; only the first call has an effect.
 func (a *Attempt) End(o Outcome) {
 	a.fleet.mu.Lock()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -83,6 +83,9 @@
 	p.crashes.CancelOnQuarantine(c.id, func() { cancel(errQuarantined) })
 	sent := wire.BootTime()
 	result, outcome := p.roundTrip(ctx, cancel, j, c)
+	if errors.Is(context.Cause(ctx), errWithdrawn) {
+		outcome = fleet.ClientDisconnected // it says nothing about the target
+	}
 	crashed := outcome == fleet.Failed && p.unreachable(context.WithoutCancel(ctx), c)
 	if crashed {
 		c.attempt.End(fleet.Unreachable)
@@ -151,8 +154,8 @@
 	if err != nil {
 		return incomplete{reason: err.Error()}, fleet.ClientDisconnected
 	}
-	stop := p.watchStall(ctx, cancel, j, c)
-	defer stop()
+	defer p.watchStall(ctx, cancel, j, c)()
+	defer p.withdrawLate(cancel, j, c)()
 	resp, err := p.transport(j).RoundTrip(req)
 	if err != nil {
 		return p.handleSendError(ctx, j, err)
@@ -254,14 +257,14 @@
 func (p *Proxy) handleSendError(ctx context.Context, j *job, err error) (attemptResult, fleet.Outcome) {
 	var unsent *wire.UnsentError
 	sent := !errors.As(err, &unsent)
-	stalled := errors.Is(context.Cause(ctx), errTargetStalled)
+	left := leftTarget(ctx)
 	switch {
-	case ctx.Err() != nil && !stalled:
+	case ctx.Err() != nil && !left:
 		if sent {
 			j.attempts++
 		}
 		return aborted{cause: context.Cause(ctx)}, fleet.ClientDisconnected
-	case !sent && !stalled:
+	case !sent && !left:
 		return retryable{reason: err.Error()}, fleet.Unreachable
 	}
 	j.deliveries++
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -106,7 +106,7 @@
 
 // outdated reports whether the weights of an engine are too old for a new request.
 func (p *Proxy) outdated(j *job, s fleet.Status) bool {
-	limit := time.Duration(p.staleLimit.Load())
+	limit := p.staleLimits.Load().Send
 	if j.Prompt == nil || limit <= 0 {
 		return false
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,32 +67,30 @@
 // WithCrashTracker sets the tracker of requests that crash their targets.
 func WithCrashTracker(t *crash.Tracker) Option { return func(p *Proxy) { p.crashes = t } }
 
-// WithStaleLimit sets for how long after the announcement of new weights a request
-// may still start on older ones.
-func WithStaleLimit(d time.Duration) Option { return func(p *Proxy) { p.SetStaleLimit(d) } }
+// WithStaleLimits sets what engines with older weights may get after the announcement of
+// new ones.
+func WithStaleLimits(l StaleLimits) Option { return func(p *Proxy) { p.SetStaleLimits(l) } }
 
 // WithWeights sets the source of the announced weight versions.
 func WithWeights(w WeightVersions) Option { return func(p *Proxy) { p.weights = w } }
 
 // Proxy is the HTTP handler that forwards requests from callers to targets.
 type Proxy struct {
-	codec     Codec
-	fleet     *fleet.Fleet
-	planner   CachePlanner
-	weights   WeightVersions
-	origins   Origins
-	crashes   *crash.Tracker
-	log       *zap.Logger
-	pool      *bound.Pool
-	allowance retry.Allowance
-	distance  func(zone string) place.Distance
-	hosts     func() int
-	share     func() rates.Share
-	costs     place.Costs
-	placement atomic.Pointer[place.Rule]
-	// staleLimit is a time.Duration. Engines with older weights get no requests
-	// once newer weights have been announced for longer than this.
-	staleLimit atomic.Int64
+	codec       Codec
+	fleet       *fleet.Fleet
+	planner     CachePlanner
+	weights     WeightVersions
+	origins     Origins
+	crashes     *crash.Tracker
+	log         *zap.Logger
+	pool        *bound.Pool
+	allowance   retry.Allowance
+	distance    func(zone string) place.Distance
+	hosts       func() int
+	share       func() rates.Share
+	costs       place.Costs
+	placement   atomic.Pointer[place.Rule]
+	staleLimits atomic.Pointer[StaleLimits]
 
 	config           atomic.Pointer[opconf.Config]
 	pooledTransport  http.RoundTripper
@@ -137,6 +135,7 @@
 	}
 	p.drained, p.endDrain = context.WithCancelCause(context.Background())
 	p.SetPolicy(place.Cost)
+	p.SetStaleLimits(StaleLimits{})
 	for _, o := range opts {
 		o(p)
 	}
@@ -160,9 +159,9 @@
 // SetPolicy changes the placement policy for requests with a prompt.
 func (p *Proxy) SetPolicy(policy place.Policy) { p.placement.Store(place.NewRule(policy)) }
 
-// SetStaleLimit changes for how long after the announcement of new weights a
-// request may still start on older ones.
-func (p *Proxy) SetStaleLimit(d time.Duration) { p.staleLimit.Store(int64(d)) }
+// SetStaleLimits changes what engines with older weights may get after the announcement of
+// new ones.
+func (p *Proxy) SetStaleLimits(l StaleLimits) { p.staleLimits.Store(&l) }
 
 // SetConfig activates a configuration. It returns false and changes nothing unless
 // the version is newer than the current one.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -95,7 +95,7 @@
 
 // streamFailed handles a stream that broke or was canceled.
 func (p *Proxy) streamFailed(ctx context.Context, j *job, err error) (attemptResult, fleet.Outcome) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTargetStalled) {
+	if ctx.Err() != nil && !leftTarget(ctx) {
 		return aborted{cause: context.Cause(ctx)}, fleet.ClientDisconnected
 	}
 	reason := "an event exceeds the size limit"
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -161,7 +161,7 @@
 		p.Codec(), h.fleet, proxy.WithLog(h.log), proxy.WithAllowance(s.retryAllowance()),
 		proxy.WithDistance(s.distance), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
 		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog), proxy.WithOrigins(h.origins), proxy.WithPaths(h.paths),
-		proxy.WithStaleLimit(s.staleWeightsLimit()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
+		proxy.WithStaleLimits(s.staleLimits()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
 	)
 	h.leasedTask = newLeasedTask(h)
 	h.members = newMembers(h)
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -70,7 +70,7 @@
 	}
 	h.setSettings(next)
 	h.proxy.SetAllowance(next.retryAllowance())
-	h.proxy.SetStaleLimit(next.staleWeightsLimit())
+	h.proxy.SetStaleLimits(next.staleLimits())
 	if next.Placement != old.Placement {
 		h.proxy.SetPolicy(next.placementPolicy())
 	}
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -13,6 +13,7 @@
 
 	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/proxy"
 	"sesamehill.example/sesamehill/internal/retry"
 )
 
@@ -183,6 +184,18 @@
 // waited behind others at its engine.
 const requestStartMargin = 3 * time.Second
 
+// withdrawalMargin is the time before the limit on older weights at which requests that an
+// engine may not have begun are withdrawn. It covers the error of the estimate of the
+// store's clock (0.2 s), the way to the engine and a busy host.
+const withdrawalMargin = 700 * time.Millisecond
+
+// staleLimits returns what engines with older weights may get after an announcement.
+func (s Settings) staleLimits() proxy.StaleLimits {
+	return proxy.StaleLimits{
+		Send: s.staleWeightsLimit(), Withdraw: max(time.Duration(s.Weights*float64(time.Millisecond))-withdrawalMargin, 0),
+	}
+}
+
 // staleWeightsLimit returns how long after an announcement of new weights requests may
 // be sent to engines with older ones.
 func (s Settings) staleWeightsLimit() time.Duration {
