Order every engine early, and let engines with unanswered orders serve

Cause: the rollout counted an order without an answer as in progress for 0.7 s, two fifths of the engines at a time, and ordered the least loaded engines first. Engines whose orders are carried out 2 to 12 s late were the least loaded ones, as they got no requests, so that they were ordered again and again, and others got their first order 19 to 21 s after the announcement.

Change: the state of an order is sending, loading or unanswered. Engines with fewer tries go first.

--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -1,8 +1,9 @@
 package roll
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -36,8 +37,11 @@
 
 // Results of an order.
 const (
-	// Unknown means that the call failed and the order may have been accepted.
+	// Unknown means that the engine did not answer: it may have accepted the order, or may
+	// carry it out seconds later.
 	Unknown OrderResult = iota
+	// NotSent means that the engine did not get the order.
+	NotSent
 	// AlreadyLoaded means that the engine has the weights already.
 	AlreadyLoaded
 	Accepted
@@ -65,10 +69,14 @@
 	Version int
 	Calls   int
 	Down    bool
-	// Loading is set while an order is in progress. NotBefore is the boot time from
-	// which the engine may be ordered again after a failed order.
-	Loading   bool
+	// Ordering is set while the engine is ordered, or loads weights by an order. Unanswered
+	// is set while it may still carry out an order that it has not answered.
+	Ordering, Unanswered bool
+	// NotBefore is the boot time from which the engine may be ordered again after a failed
+	// order.
 	NotBefore time.Duration
+	// Tries is the number of orders of this host for the desired version.
+	Tries int
 }
 
 const (
@@ -82,22 +90,26 @@
 )
 
 // Plan returns the engines to order next: those with an older version than the
-// desired one of their model, the least loaded first, so that most of the capacity
-// changes early.
+// desired one of their model. Those with fewer tries go first, or engines whose orders have
+// no effect would keep the others from theirs; of these the least loaded, so that most of the
+// capacity changes early. An engine with an unanswered order serves, and does not count as
+// out of service.
 func Plan(engines []Engine, desired map[string]int, now time.Duration) []Engine {
 	var due []Engine
 	total, outOfService := map[string]int{}, map[string]int{}
 	for _, e := range engines {
 		total[e.Service]++
-		if e.Loading {
+		if e.Ordering {
 			outOfService[e.Service]++
 			continue
 		}
-		if e.Version < desired[e.Model] && !e.Down && now >= e.NotBefore {
+		if e.Version < desired[e.Model] && !e.Down && !e.Unanswered && now >= e.NotBefore {
 			due = append(due, e)
 		}
 	}
-	sort.SliceStable(due, func(i, j int) bool { return due[i].Calls < due[j].Calls })
+	slices.SortStableFunc(due, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.Tries, b.Tries), cmp.Compare(a.Calls, b.Calls))
+	})
 	var next []Engine
 	for _, e := range due {
 		if outOfService[e.Service] >= outOfServiceFactor*max(total[e.Service]/loadingDivisor, minLoading) {
