Repeat unanswered orders sooner and less often each time; know rejected orders

Cause: an engine that leaves an order unanswered may carry it out up to 12 s later. A repeated order is another chance, has no effect once one was carried out, and costs little.

Change: the first repetition follows after 1.5 s, the next ones after twice the time, up to 12 s.

--- a/internal/roll/order.go
+++ b/internal/roll/order.go
@@ -25,10 +25,12 @@
 	// retryDelay is the time after a failed order before the engine is ordered
 	// again.
 	retryDelay = 400 * time.Millisecond
-	// unansweredTimeout is the time after an order without an answer before the engine is
-	// ordered again. The engine may carry out such an order up to 12 s late; the second
-	// order has no effect once it has.
-	unansweredTimeout = 3 * time.Second
+	// minUnansweredTimeout is the time after the first order of a version without an answer
+	// before the engine is ordered again. It doubles with each try, up to
+	// maxUnansweredTimeout: an engine may carry out an order up to 12 s late. The other
+	// orders have no effect once it has.
+	minUnansweredTimeout = 1500 * time.Millisecond
+	maxUnansweredTimeout = 12 * time.Second
 	// unansweredInterval is the time between two polls of an engine with an unanswered
 	// order, or more, so that all such engines get at most maxUnansweredPolls a second.
 	unansweredInterval = 400 * time.Millisecond
@@ -234,10 +236,10 @@
 
 // awaitUnanswered polls an engine that has not answered an order, until it has loaded the
 // weights or may be ordered again: it has accepted another order, newer weights are desired,
-// or unansweredTimeout has passed.
+// or the time for an unanswered order has passed.
 func (r *Roller) awaitUnanswered(ctx context.Context, e Engine, version int, sequence uint64) outcome {
-	start := r.now()
-	for r.now()-start < unansweredTimeout && r.desired()[e.Model] <= version {
+	end := r.now() + r.unansweredTimeout(e.ID)
+	for r.now() < end && r.desired()[e.Model] <= version {
 		if pause.For(ctx, r.unansweredPollInterval()) != nil {
 			return failed
 		}
@@ -256,6 +258,14 @@
 	return outcome{}
 }
 
+// unansweredTimeout returns the time after which an engine that has not answered its last
+// order is ordered again.
+func (r *Roller) unansweredTimeout(engine string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(minUnansweredTimeout<<min(r.tries[engine].count-1, 8), maxUnansweredTimeout)
+}
+
 // unansweredPollInterval returns the time between two polls of an engine with an unanswered
 // order.
 func (r *Roller) unansweredPollInterval() time.Duration {
--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -51,6 +51,8 @@
 	Fenced
 	// WrongEngine means that another engine listens at the address.
 	WrongEngine
+	// Rejected means that the engine knows no such order or version.
+	Rejected
 )
 
 // Engines makes calls to engines.
