Say why engines have older weights; repeat orders soon once they are answered

Cause: nothing told an operator whether an engine with older weights had been ordered, loads, has not answered or has rejected the order. And while orders are late, their repetition waited up to 12 s, also after others had been answered again.

Change: the log line "engines have older weights" and the variable outdated count engines by reason on the host that gives orders. Repetitions wait 4 s at most, and 1.5 s once an order has been answered.

--- a/internal/roll/doc.go
+++ b/internal/roll/doc.go
@@ -5,7 +5,8 @@
 // the number of orders that the engine had accepted before, so that a delayed
 // order has no effect once the engine has accepted a newer one. The lease holder
 // first publishes which engines it is about to order, so that the other hosts send
-// no requests to them in the meantime.
+// no requests to them in the meantime. An engine that does not answer an order serves
+// on: it may carry out the order at once, seconds later, or never.
 //
 // # Usage
 //
--- a/internal/roll/late_test.go
+++ b/internal/roll/late_test.go
@@ -36,6 +36,8 @@
 	lost
 	// unheard orders are carried out at once, and the answer is lost.
 	unheard
+	// rejected orders are not carried out, as the answer says.
+	rejected
 )
 
 // standIns are the engines of a test, with the lease and the publisher of the host. They
@@ -51,6 +53,7 @@
 	treat func(engine int) (answerKind, time.Duration)
 	// problems are the broken rules that were seen.
 	problems []string
+	roller   *roll.Roller
 }
 
 type standIn struct {
@@ -120,25 +123,26 @@
 	s.mu.Unlock()
 	switch kind {
 	case late:
-		time.AfterFunc(delay, func() {
-			if e.starts == starts {
-				s.carryOut(e, o)
-			}
-		})
+		time.AfterFunc(delay, func() { s.carryOut(e, o, starts) })
 	case unheard:
-		s.carryOut(e, o)
+		s.carryOut(e, o, starts)
 	case answered:
-		return s.carryOut(e, o), nil
+		return s.carryOut(e, o, starts), nil
+	case rejected:
+		return roll.Rejected, nil
 	}
 	<-ctx.Done()
 	return roll.Unknown, ctx.Err()
 }
 
-// carryOut applies an order to an engine and starts to load the weights.
-func (s *standIns) carryOut(e *standIn, o roll.Order) roll.OrderResult {
+// carryOut applies an order to an engine, unless that has restarted since, and starts to load
+// the weights.
+func (s *standIns) carryOut(e *standIn, o roll.Order, starts int) roll.OrderResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case e.starts != starts:
+		return roll.WrongEngine
 	case e.version == o.Version && !e.busy:
 		return roll.AlreadyLoaded
 	case e.busy || e.sequence != o.Sequence:
@@ -150,7 +154,6 @@
 	e.sequence++
 	e.loads++
 	e.loadingFor += standInLoadTime
-	starts := e.starts
 	time.AfterFunc(standInLoadTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -201,10 +204,10 @@
 func (s *standIns) run(script func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	r := roll.New("a", s, s, s, s.source(), roll.WithClock(s.now))
+	s.roller = roll.New("a", s, s, s, s.source(), roll.WithClock(s.now))
 	go func() {
 		defer close(done)
-		_ = r.Run(ctx)
+		_ = s.roller.Run(ctx)
 	}()
 	script()
 	time.Sleep(settleTime)
@@ -304,6 +307,30 @@
 	Expect(s.sum(func(e *standIn) int { return e.loads })).To(Equal(count))
 }
 
+// Guards against engines with older weights of which an operator cannot see why.
+func TestReasons(t *testing.T) {
+	for kind, want := range map[answerKind]roll.Reason{lost: roll.NoAnswer, rejected: roll.OrderFailed, answered: roll.NotOrdered} {
+		t.Run(string(want), func(t *testing.T) {
+			RegisterTestingT(t)
+			seen := 0
+			synctest.Test(t, func(*testing.T) {
+				s := newStandIns(9, func(int) (answerKind, time.Duration) { return kind, 0 })
+				s.run(func() {
+					s.name(2)
+					for range 30 {
+						time.Sleep(100 * time.Millisecond)
+						seen = max(seen, s.roller.Outdated()[want])
+					}
+				})
+				if kind == answered {
+					Expect(s.roller.Outdated()).To(BeEmpty())
+				}
+			})
+			Expect(seen).To(BeNumerically(">=", 4))
+		})
+	}
+}
+
 // Guards against sequences of announcements, treatments of orders and restarts of engines
 // that set weights back, load a version twice or leave engines without the newest.
 func TestRandomOrders(t *testing.T) {
--- a/internal/roll/order.go
+++ b/internal/roll/order.go
@@ -25,12 +25,12 @@
 	// retryDelay is the time after a failed order before the engine is ordered
 	// again.
 	retryDelay = 400 * time.Millisecond
-	// minUnansweredTimeout is the time after the first order of a version without an answer
-	// before the engine is ordered again. It doubles with each try, up to
-	// maxUnansweredTimeout: an engine may carry out an order up to 12 s late. The other
+	// minUnansweredTimeout is the time after an order without an answer before the engine is
+	// ordered again. While orders are late it doubles with each try, up to
+	// maxUnansweredTimeout. An engine may carry out an order up to 12 s late; the other
 	// orders have no effect once it has.
 	minUnansweredTimeout = 1500 * time.Millisecond
-	maxUnansweredTimeout = 12 * time.Second
+	maxUnansweredTimeout = 4 * time.Second
 	// unansweredInterval is the time between two polls of an engine with an unanswered
 	// order, or more, so that all such engines get at most maxUnansweredPolls a second.
 	unansweredInterval = 400 * time.Millisecond
@@ -238,8 +238,8 @@
 // weights or may be ordered again: it has accepted another order, newer weights are desired,
 // or the time for an unanswered order has passed.
 func (r *Roller) awaitUnanswered(ctx context.Context, e Engine, version int, sequence uint64) outcome {
-	end := r.now() + r.unansweredTimeout(e.ID)
-	for r.now() < end && r.desired()[e.Model] <= version {
+	start := r.now()
+	for r.now()-start < r.unansweredTimeout(e.ID) && r.desired()[e.Model] <= version {
 		if pause.For(ctx, r.unansweredPollInterval()) != nil {
 			return failed
 		}
@@ -263,6 +263,9 @@
 func (r *Roller) unansweredTimeout(engine string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.ordersAreLate() {
+		return minUnansweredTimeout
+	}
 	return min(minUnansweredTimeout<<min(r.tries[engine].count-1, 8), maxUnansweredTimeout)
 }
 
--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -71,9 +71,10 @@
 	Version int
 	Calls   int
 	Down    bool
-	// Ordering is set while the engine is ordered, or loads weights by an order. Unanswered
-	// is set while it may still carry out an order that it has not answered.
-	Ordering, Unanswered bool
+	// Ordering is set while the engine is ordered, or loads weights by an order, and Accepted
+	// from when it has accepted the order. Unanswered is set while it may still carry out an
+	// order that it has not answered.
+	Ordering, Accepted, Unanswered bool
 	// NotBefore is the boot time from which the engine may be ordered again after a failed
 	// order.
 	NotBefore time.Duration
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -57,6 +57,9 @@
 	recordVersion func(target, model string, version int)
 	reportFailed  func(target string)
 	log           *zap.Logger
+	// outdatedLoggedAt is the time of the last log line about outdated engines. Only Run
+	// uses it.
+	outdatedLoggedAt time.Duration
 
 	mu sync.Mutex
 	// orders are the orders in progress by engine, tries the orders so far.
@@ -116,9 +119,11 @@
 		}
 		wait = planInterval
 		desired := r.desired()
-		if next := Plan(r.currentEngines(desired), desired, r.now()); len(next) > 0 {
+		engines := r.currentEngines(desired)
+		if next := Plan(engines, desired, r.now()); len(next) > 0 {
 			r.startOrders(ctx, next)
 		}
+		r.logOutdated(engines, desired)
 		r.publish(ctx)
 	}
 	return nil
@@ -143,7 +148,7 @@
 	for i := range engines {
 		e := &engines[i]
 		if o := r.orders[e.ID]; o != nil {
-			e.Ordering, e.Unanswered = o.phase != unanswered, o.phase == unanswered
+			e.Ordering, e.Accepted, e.Unanswered = o.phase != unanswered, o.phase == loading, o.phase == unanswered
 		}
 		if t := r.tries[e.ID]; t.version == desired[e.Model] {
 			e.Tries = t.count
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -61,6 +61,7 @@
 		return map[string]uint64{"platform": platform, "hubs": hubs, "era": h.tables.Era()}
 	}))
 	vars.Set("reads", expvar.Func(func() any { return h.tables.ReadStats() }))
+	vars.Set("outdated", expvar.Func(func() any { return h.leasedTask.roller.Outdated() }))
 	vars.Set("held", expvar.Func(func() any { return h.pool.InUse() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
