Give an engine with several models one order at a time

Cause: the planner sees an entry for each model of an engine, and chose several entries of one engine at once; it also counted the engine once for each model, for the share that may be out of service. The order that ended first removed the state of both, and the weights of the second replaced those of the first in the published progress.

--- a/internal/roll/order.go
+++ b/internal/roll/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,6 +68,11 @@
 // tries counts the orders of a version to an engine.
 type tries struct{ version, count int }
 
+// engineModel names a model of an engine.
+type engineModel struct{ engine, model string }
+
+func (e Engine) key() engineModel { return engineModel{e.ID, e.Model} }
+
 // loadedEngine holds the weight versions that an engine has loaded.
 type loadedEngine struct {
 	versions map[string]int
@@ -119,7 +125,10 @@
 	delete(r.orders, e.ID)
 	r.notBefore[e.ID] = r.now() + end.retryAfter
 	if end.loaded > 0 {
-		r.loaded[e.ID] = loadedEngine{versions: map[string]int{e.Model: end.loaded}, loadedAt: r.now()}
+		versions := map[string]int{}
+		maps.Copy(versions, r.loaded[e.ID].versions) // published progress shares the old map
+		versions[e.Model] = end.loaded
+		r.loaded[e.ID] = loadedEngine{versions: versions, loadedAt: r.now()}
 	}
 }
 
@@ -188,7 +197,7 @@
 		Target: e.ID, Address: e.Address, Model: e.Model, Version: version,
 		Holder: r.host, FencingToken: token, Sequence: sequence,
 	}
-	r.countTry(e.ID, version)
+	r.countTry(e, version)
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := r.engines.Order(limited, o)
@@ -200,15 +209,15 @@
 	return result
 }
 
-func (r *Roller) countTry(engine string, version int) {
+func (r *Roller) countTry(e Engine, version int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.tries[engine]
+	t := r.tries[e.key()]
 	if t.version != version {
 		t = tries{version: version}
 	}
 	t.count++
-	r.tries[engine] = t
+	r.tries[e.key()] = t
 }
 
 // waitLoaded polls an engine that loads weights until it has a version. It ends without
@@ -239,7 +248,7 @@
 // or the time for an unanswered order has passed.
 func (r *Roller) awaitUnanswered(ctx context.Context, e Engine, version int, sequence uint64) outcome {
 	start := r.now()
-	for r.now()-start < r.unansweredTimeout(e.ID) && r.desired()[e.Model] <= version {
+	for r.now()-start < r.unansweredTimeout(e) && r.desired()[e.Model] <= version {
 		if pause.For(ctx, r.unansweredPollInterval()) != nil {
 			return failed
 		}
@@ -260,13 +269,13 @@
 
 // unansweredTimeout returns the time after which an engine that has not answered its last
 // order is ordered again.
-func (r *Roller) unansweredTimeout(engine string) time.Duration {
+func (r *Roller) unansweredTimeout(e Engine) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.ordersAreLate() {
 		return minUnansweredTimeout
 	}
-	return min(minUnansweredTimeout<<min(r.tries[engine].count-1, 8), maxUnansweredTimeout)
+	return min(minUnansweredTimeout<<min(r.tries[e.key()].count-1, 8), maxUnansweredTimeout)
 }
 
 // unansweredPollInterval returns the time between two polls of an engine with an unanswered
--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -97,16 +97,20 @@
 // no effect would keep the others from theirs; of these the least loaded, so that most of the
 // capacity changes early. An engine with an unanswered order serves, and does not count as
 // out of service.
+//
+// An engine with several models has an entry for each; it gets one order at a time.
 func Plan(engines []Engine, desired map[string]int, now time.Duration) []Engine {
 	var due []Engine
-	total, outOfService := map[string]int{}, map[string]int{}
+	total, outOfService, counted := map[string]int{}, map[string]int{}, map[string]bool{}
 	for _, e := range engines {
-		total[e.Service]++
-		if e.Ordering {
-			outOfService[e.Service]++
-			continue
+		if !counted[e.ID] {
+			counted[e.ID] = true
+			total[e.Service]++
+			if e.Ordering {
+				outOfService[e.Service]++
+			}
 		}
-		if e.Version < desired[e.Model] && !e.Down && !e.Unanswered && now >= e.NotBefore {
+		if !e.Ordering && !e.Unanswered && !e.Down && e.Version < desired[e.Model] && now >= e.NotBefore {
 			due = append(due, e)
 		}
 	}
@@ -114,10 +118,13 @@
 		return cmp.Or(cmp.Compare(a.Tries, b.Tries), cmp.Compare(a.Calls, b.Calls))
 	})
 	var next []Engine
+	chosen := map[string]bool{}
 	for _, e := range due {
-		if outOfService[e.Service] >= outOfServiceFactor*max(total[e.Service]/loadingDivisor, minLoading) {
+		full := outOfService[e.Service] >= outOfServiceFactor*max(total[e.Service]/loadingDivisor, minLoading)
+		if full || chosen[e.ID] {
 			continue
 		}
+		chosen[e.ID] = true
 		outOfService[e.Service]++
 		next = append(next, e)
 	}
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -62,9 +62,10 @@
 	outdatedLoggedAt time.Duration
 
 	mu sync.Mutex
-	// orders are the orders in progress by engine, tries the orders so far.
+	// orders are the orders in progress by engine, tries the orders so far by engine and
+	// model.
 	orders map[string]*order
-	tries  map[string]tries
+	tries  map[engineModel]tries
 	// notBefore holds the boot time from which an engine may be ordered again.
 	notBefore map[string]time.Duration
 	loaded    map[string]loadedEngine
@@ -99,7 +100,7 @@
 	r := &Roller{
 		now: wire.BootTime, host: host, lease: f, engines: e, publisher: b, desired: s.DesiredVersions, listEngines: s.Engines, recordVersion: s.RecordVersion,
 		reportFailed: s.ReportFailed,
-		log:          zap.NewNop(), orders: map[string]*order{}, tries: map[string]tries{}, notBefore: map[string]time.Duration{},
+		log:          zap.NewNop(), orders: map[string]*order{}, tries: map[engineModel]tries{}, notBefore: map[string]time.Duration{},
 		loaded: map[string]loadedEngine{},
 	}
 	for _, o := range opts {
@@ -150,7 +151,7 @@
 		if o := r.orders[e.ID]; o != nil {
 			e.Ordering, e.Accepted, e.Unanswered = o.phase != unanswered, o.phase == loading, o.phase == unanswered
 		}
-		if t := r.tries[e.ID]; t.version == desired[e.Model] {
+		if t := r.tries[e.key()]; t.version == desired[e.Model] {
 			e.Tries = t.count
 		}
 		e.NotBefore = r.notBefore[e.ID]
--- a/internal/roll/roll_test.go
+++ b/internal/roll/roll_test.go
@@ -51,6 +51,23 @@
 		}
 	})
 
+	// Guards against two orders at once to an engine with several models.
+	It("selects an engine with several outdated models once, and counts it once", func() {
+		var list []roll.Engine
+		for i := range 18 {
+			for _, model := range []string{"m", "n"} {
+				list = append(list, roll.Engine{ID: fmt.Sprint("e", i), Service: "llm", Model: model, Version: 1})
+			}
+		}
+		next := roll.Plan(list, map[string]int{"m": 2, "n": 2}, 0)
+		ids := map[string]bool{}
+		for _, e := range next {
+			ids[e.ID] = true
+		}
+		Expect(next).To(HaveLen(6))
+		Expect(ids).To(HaveLen(6))
+	})
+
 	It("skips engines that load, are down, wait for a retry or are up to date", func() {
 		list := engines(4, 1)
 		list[0].Ordering, list[1].Down, list[2].NotBefore, list[3].Version = true, true, time.Second, 2
