Let callers of sesamed run get the refusal of a body that is too large

Change: up to 1 MB more of the body is read before the answer.

Measured: the spec "a body that is too large in chunks" failed before with broken pipe and passes, three times with -race.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -192,6 +192,38 @@
 	return response
 }
 
+// Guards against callers that lose the refusal of a large body: they read the answer only
+// after they have sent the body, and what they send to a closed connection resets it.
+var _ = Describe("a body that is too large", func() {
+	head := "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer keeper-key\r\n"
+	piece := strings.Repeat("x", 10_000)
+	DescribeTable("is refused after the caller has sent it", func(field, before, after string) {
+		s, address := serve(&fakeRunner{})
+		defer func() { Expect(s.Drain(context.Background())).To(Succeed()) }()
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, head+field+"\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		for range 12 {
+			_, err = io.WriteString(conn, before+piece+after)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(10 * time.Millisecond)
+		}
+		if after != "" {
+			_, err = io.WriteString(conn, "0\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	},
+		Entry("in chunks", "Transfer-Encoding: chunked", "2710\r\n", "\r\n"),
+		Entry("with a length", "Content-Length: 120000", "", ""),
+	)
+})
+
 var createdField = regexp.MustCompile(`"created":\d+`)
 
 // readAll returns the body of a response with the time of creation set to 0.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,9 @@
 	// idleTimeout is longer than the idle timeouts of common load balancers
 	// (60 s), so that the balancer closes an idle connection first.
 	idleTimeout = 90 * time.Second
+	// maxDiscardedBytes bounds what is read of a body after its limit, so that its caller
+	// gets the refusal.
+	maxDiscardedBytes = 1 << 20
 	// bodyPrefetchBytes is the size of the part of a request body that is read
 	// before the handler runs. The handler reads the remaining body, up to the
 	// configured limit.
@@ -224,6 +227,8 @@
 		return nil, Invalid("", "the body ended early; send as many bytes as the header Content-Length states")
 	}
 	if body.Len() > limit {
+		// A caller that is still sending when the connection closes may lose the answer.
+		_, _ = io.CopyN(io.Discard, c.RequestBodyStream(), maxDiscardedBytes) // an incomplete body is refused too
 		return nil, tooLarge(limit)
 	}
 	return body.Bytes(), nil
