Order an engine again that is idle without the weights it accepted

Cause: an engine that carried out another, late order after it had accepted one was polled for 10 s before its next order, as its number of accepted orders was higher than expected.

Change: an engine that is idle 0.7 s after it accepted an order and lacks the weights may be ordered again, whatever that number.

Measured: the tests of internal/roll pass, 8 times with -race.

--- a/internal/roll/order.go
+++ b/internal/roll/order.go
@@ -171,12 +171,12 @@
 	}
 	if before.Busy {
 		r.setPhase(e, loading)
-		return r.waitLoaded(ctx, e, version, before.Sequence)
+		return r.waitLoaded(ctx, e, version)
 	}
 	switch r.send(ctx, e, version, before.Sequence) {
 	case AlreadyLoaded, Accepted:
 		r.setPhase(e, loading)
-		return r.waitLoaded(ctx, e, version, before.Sequence+1)
+		return r.waitLoaded(ctx, e, version)
 	case Unknown:
 		r.setPhase(e, unanswered)
 		return r.awaitUnanswered(ctx, e, version, before.Sequence)
@@ -221,9 +221,8 @@
 }
 
 // waitLoaded polls an engine that loads weights until it has a version. It ends without
-// success once the engine is idle, though it has accepted a number of orders: it has loaded
-// another version.
-func (r *Roller) waitLoaded(ctx context.Context, e Engine, version int, accepted uint64) outcome {
+// success once the engine is idle: it has loaded another version, or has restarted.
+func (r *Roller) waitLoaded(ctx context.Context, e Engine, version int) outcome {
 	start := r.now()
 	for r.now()-start < loadTimeout {
 		if pause.For(ctx, reportInterval) != nil {
@@ -236,7 +235,7 @@
 		case err != nil:
 		case r.loadedVersion(e, report, version):
 			return outcome{loaded: report.Versions[e.Model]}
-		case !report.Busy && r.now()-start > reportLag && report.Sequence <= accepted:
+		case !report.Busy && r.now()-start > reportLag:
 			return failed
 		}
 	}
@@ -259,7 +258,7 @@
 			return outcome{loaded: report.Versions[e.Model]}
 		case report.Busy:
 			r.setPhase(e, loading)
-			return r.waitLoaded(ctx, e, version, report.Sequence)
+			return r.waitLoaded(ctx, e, version)
 		case report.Sequence != sequence:
 			return outcome{}
 		}
