Do not run requests whose connection was closed as idle while they were read

Cause: http.Server calls a kept connection idle until it has read the head of the next request. At the end of the time for which a stopping host accepts requests, and at the idle timeout, the host closed such connections in between; the request then ran at a target, and its caller got no answer.

Change: a request on a connection that the host has closed is dropped before it is passed on; its caller may send it again.

Measured: the spec "a request on a connection that was closed while it was read" failed before (it was served) and passes.

--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -50,12 +50,36 @@
 func newCallerServer(h http.Handler) *callerServer {
 	s := &callerServer{conns: map[net.Conn]callerConn{}}
 	s.http = &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.trackConn,
+		Handler: s.serveOpen(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.trackConn,
+		ConnContext:                  func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// serveOpen serves the requests on connections that are open. http.Server calls a connection
+// idle until it has read the head of a request, so that closeWaiting may have closed it
+// meanwhile. The caller of such a request gets no answer, so it must not run.
+func (s *callerServer) serveOpen(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && !s.isOpen(c) {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// isOpen reports whether a connection has not been closed by closeWaiting.
+func (s *callerServer) isOpen(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.conns[c]
+	return ok
+}
+
 // Serve accepts connections until ctx is cancelled; open connections stay open.
 func (s *callerServer) Serve(ctx context.Context, address string) error {
 	l, err := wire.Listen(ctx, address)
@@ -76,14 +100,15 @@
 	return nil
 }
 
-// trackConn records the state of a connection.
+// trackConn records the state of a connection, unless closeWaiting has closed it.
 func (s *callerServer) trackConn(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
+	_, known := s.conns[c]
+	switch {
+	case state == http.StateClosed || state == http.StateHijacked:
 		delete(s.conns, c)
-	default:
+	case known || state == http.StateNew:
 		s.conns[c] = callerConn{state: state, since: wire.BootTime()}
 	}
 }
