Rank hosts and look up origins of streams by one function each

Whether a host may be queried for tunnels was found by ranking all of them every 20 ms; it filters them now. The search for the origin of a stream and its repetition after the queries were the same steps twice. No change of behaviour; the tests of internal/server pass.

--- a/internal/server/hubs.go
+++ b/internal/server/hubs.go
@@ -73,16 +73,8 @@
 // first of each zone before the second ones, so that most hosts follow a hub in their
 // own zone, and within a zone those with the highest capacity first.
 func rankHubs(hosts []observedRow) []observedRow {
-	score := make(map[string]uint64, len(hosts))
-	for _, s := range hosts {
-		score[s.Host] = place.RendezvousScore(hubKey, s.Host)
-	}
-	slices.SortFunc(hosts, func(a, b observedRow) int {
-		if byCapacity := cmp.Compare(b.Capacity, a.Capacity); byCapacity != 0 {
-			return byCapacity
-		}
-		return cmp.Compare(score[b.Host], score[a.Host])
-	})
+	sortByRendezvous(hosts, hubKey)
+	slices.SortStableFunc(hosts, func(a, b observedRow) int { return cmp.Compare(b.Capacity, a.Capacity) })
 	// zoneRank is the rank of each host within its zone.
 	zoneRank := make(map[string]int, len(hosts))
 	zoneCount := map[string]int{}
@@ -94,6 +86,24 @@
 	return hosts
 }
 
+// sortByRendezvous sorts hosts by their rendezvous scores for a key, the highest first.
+func sortByRendezvous(hosts []observedRow, key string) {
+	scores := make(map[string]uint64, len(hosts))
+	for _, h := range hosts {
+		scores[h.Host] = place.RendezvousScore(key, h.Host)
+	}
+	slices.SortFunc(hosts, func(a, b observedRow) int { return cmp.Compare(scores[b.Host], scores[a.Host]) })
+}
+
+// peersOf returns the addresses at which hosts serve other hosts.
+func peersOf(hosts []observedRow) []string {
+	addresses := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		addresses = append(addresses, h.Peer)
+	}
+	return addresses
+}
+
 // hubsOf returns the hubs of a region.
 func (v *membershipView) hubsOf(region string) []observedRow {
 	ranked := v.rankedByRegion[region]
@@ -120,17 +130,11 @@
 // hubs.
 func (s Settings) hubOrder(hubs []observedRow) []string {
 	ordered := slices.Clone(hubs)
-	slices.SortFunc(ordered, func(a, b observedRow) int {
-		if byZone := cmp.Compare(boolToInt(a.Zone != s.Zone), boolToInt(b.Zone != s.Zone)); byZone != 0 {
-			return byZone
-		}
-		return cmp.Compare(place.RendezvousScore(s.Name, b.Host), place.RendezvousScore(s.Name, a.Host))
+	sortByRendezvous(ordered, s.Name)
+	slices.SortStableFunc(ordered, func(a, b observedRow) int {
+		return cmp.Compare(boolToInt(a.Zone != s.Zone), boolToInt(b.Zone != s.Zone))
 	})
-	addresses := make([]string, 0, len(ordered))
-	for _, h := range ordered {
-		addresses = append(addresses, h.Peer)
-	}
-	return addresses
+	return peersOf(ordered)
 }
 
 func boolToInt(b bool) int {
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -1,10 +1,8 @@
 package server
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,14 +11,13 @@
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/pause"
-	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/proxy"
 	"sesamehill.example/sesamehill/internal/safego"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
 const (
-	// originPath is the path at which a host tells which software version began a stream.
+	// originPath is the path of queries for the software version that began a stream.
 	originPath = "/origin"
 	// originFlushInterval is the time for which streams that have begun are collected
 	// before they are sent to other hosts.
@@ -34,7 +31,7 @@
 	originQueryTimeout = 300 * time.Millisecond
 	originRetryDelay   = 100 * time.Millisecond
 	// messageTTL and listTTL are how long a message of another host and a read of the list
-	// of targets show that this host knows all software versions.
+	// of targets show that this host has received all software versions.
 	messageTTL = 2 * time.Second
 	listTTL    = 3 * time.Second
 )
@@ -56,12 +53,12 @@
 	return &streamOrigins{host: h, registry: origin.New(), began: make(chan struct{}, 1), startedAt: wire.BootTime()}
 }
 
-// originQuery asks for the origin of a stream.
+// originQuery is a query for the origin of a stream.
 type originQuery struct {
 	Key origin.Key `cbor:"1,keyasint"`
 }
 
-// originReply holds the origin of a stream if the host knows it.
+// originReply holds the origin of a stream if the host has a record of it.
 type originReply struct {
 	Known  bool          `cbor:"1,keyasint,omitempty"`
 	Origin origin.Origin `cbor:"2,keyasint"`
@@ -102,19 +99,16 @@
 	return s.registry.Settled(service, software, wire.BootTime())
 }
 
-// Find looks for the origin of a stream here and then at its owners.
+// Find looks for the origin of a stream here and then at its owners. Its record, or a message
+// that shows that there is only one version, may come while these are queried.
 func (s *streamOrigins) Find(ctx context.Context, service, request string) proxy.OriginResult {
-	s.observe()
-	key := origin.NewKey(request)
-	if o, ok := s.registry.Find(key); ok && request != "" {
+	if o, ok := s.findHere(service, request); ok {
 		return proxy.OriginFound{Origin: o}
 	}
-	if only, ok := s.registry.Only(service); ok && s.knowsVersions() {
-		return proxy.OriginFound{Origin: origin.Origin{Service: service, Software: only}}
-	}
 	if request == "" {
 		return proxy.OriginUnknown{}
 	}
+	key := origin.NewKey(request)
 	for range 2 {
 		if o, ok := s.queryOwners(ctx, key); ok {
 			s.registry.Import([]origin.Begun{{Origin: o, Keys: []origin.Key{key}}}, wire.BootTime())
@@ -124,25 +118,28 @@
 			break
 		}
 	}
-	return s.findAgain(service, key)
+	if o, ok := s.findHere(service, request); ok {
+		return proxy.OriginFound{Origin: o}
+	}
+	return proxy.OriginUnknown{}
 }
 
-// findAgain looks for a stream after its owners were queried: its record may have come
-// meanwhile, or a message that shows that there is only one version.
-func (s *streamOrigins) findAgain(service string, key origin.Key) proxy.OriginResult {
+// findHere returns the origin of a stream that this host has a record of, or that only one
+// software version can have begun.
+func (s *streamOrigins) findHere(service, request string) (origin.Origin, bool) {
 	s.observe()
-	if o, ok := s.registry.Find(key); ok {
-		return proxy.OriginFound{Origin: o}
-	}
-	if only, ok := s.registry.Only(service); ok && s.knowsVersions() {
-		return proxy.OriginFound{Origin: origin.Origin{Service: service, Software: only}}
+	if request != "" {
+		if o, ok := s.registry.Find(origin.NewKey(request)); ok {
+			return o, true
+		}
 	}
-	return proxy.OriginUnknown{}
+	only, ok := s.registry.Only(service)
+	return origin.Origin{Service: service, Software: only}, ok && s.versionsComplete()
 }
 
-// knowsVersions reports whether this host would know of a second software version that any
-// host uses. A host that has just started learns it from the messages of the others.
-func (s *streamOrigins) knowsVersions() bool {
+// versionsComplete reports whether this host would have received a second software version
+// that any host uses. A host that has just started learns it from the messages of the others.
+func (s *streamOrigins) versionsComplete() bool {
 	now := wire.BootTime()
 	message, list := time.Duration(s.messageAt.Load()), time.Duration(s.listAt.Load())
 	switch {
@@ -154,8 +151,8 @@
 	return s.host.members.alone()
 }
 
-// queryOwners asks the owners of a stream for its origin and returns the first answer of
-// one that knows it.
+// queryOwners queries the owners of a stream for its origin and returns the first answer that
+// has it.
 func (s *streamOrigins) queryOwners(ctx context.Context, key origin.Key) (origin.Origin, bool) {
 	owners := s.host.members.ownersOf(key)
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
@@ -184,7 +181,7 @@
 	return origin.Origin{}, false
 }
 
-// serveOrigin answers hosts that ask for the origin of a stream.
+// serveOrigin answers queries for the origin of a stream.
 func (h *Host) serveOrigin(w http.ResponseWriter, r *http.Request) {
 	var q originQuery
 	if readQuery(w, r, &q) {
@@ -232,24 +229,10 @@
 // ownersOf returns the addresses of the other hosts that remember a stream: all where
 // hosts are few.
 func (m *members) ownersOf(key origin.Key) []string {
-	others := m.others()
-	if len(others) >= maxDirectHosts {
-		others = topOwners(others, key)
-	}
-	addresses := make([]string, 0, len(others))
-	for _, h := range others {
-		addresses = append(addresses, h.Peer)
-	}
-	return addresses
-}
-
-// topOwners returns the hosts with the highest rendezvous scores for a stream.
-func topOwners(hosts []observedRow, key origin.Key) []observedRow {
-	text := key.String()
-	scores := make(map[string]uint64, len(hosts))
-	for _, h := range hosts {
-		scores[h.Host] = place.RendezvousScore(text, h.Host)
+	owners := m.others()
+	if len(owners) >= maxDirectHosts {
+		sortByRendezvous(owners, key.String())
+		owners = owners[:originOwners]
 	}
-	slices.SortFunc(hosts, func(a, b observedRow) int { return cmp.Compare(scores[b.Host], scores[a.Host]) })
-	return hosts[:originOwners]
+	return peersOf(owners)
 }
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -15,7 +15,6 @@
 
 	"go.uber.org/zap"
 
-	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/proxy"
 	"sesamehill.example/sesamehill/internal/tunnel"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -167,7 +166,7 @@
 func (p *pathFinder) available() bool {
 	now := wire.BootTime()
 	if now-time.Duration(p.availableAt.Load()) >= availableTTL {
-		p.hasHost.Store(len(p.candidates("")) > 0)
+		p.hasHost.Store(len(p.unpaused()) > 0)
 		p.availableAt.Store(int64(now))
 	}
 	return p.hasHost.Load()
@@ -176,22 +175,24 @@
 // candidates returns the hosts to ask for a tunnel to a target: near ones first, as links
 // between regions are narrow, and among these in an order that spreads targets over them.
 func (p *pathFinder) candidates(target string) []observedRow {
-	hosts := p.host.members.others()
-	p.mu.Lock()
-	now := wire.BootTime()
-	hosts = slices.DeleteFunc(hosts, func(h observedRow) bool { return now < p.pausedUntil[h.Host] })
-	p.mu.Unlock()
+	hosts := p.unpaused()
 	settings := p.host.currentSettings()
-	rank := make(map[string]uint64, len(hosts))
-	for _, h := range hosts {
-		rank[h.Host] = place.RendezvousScore(target, h.Host)
-	}
-	slices.SortFunc(hosts, func(a, b observedRow) int {
-		return cmp.Or(cmp.Compare(settings.distance(a.Zone), settings.distance(b.Zone)), cmp.Compare(rank[b.Host], rank[a.Host]))
+	sortByRendezvous(hosts, target)
+	slices.SortStableFunc(hosts, func(a, b observedRow) int {
+		return cmp.Compare(settings.distance(a.Zone), settings.distance(b.Zone))
 	})
 	return hosts[:min(maxTunnelTries, len(hosts))]
 }
 
+// unpaused returns the hosts that may be queried for tunnels.
+func (p *pathFinder) unpaused() []observedRow {
+	hosts := p.host.members.others()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := wire.BootTime()
+	return slices.DeleteFunc(hosts, func(h observedRow) bool { return now < p.pausedUntil[h.Host] })
+}
+
 // connect connects to a target for another host. It goes through no third host.
 func (p *pathFinder) connect(ctx context.Context, host, target string) (net.Conn, error) {
 	if p.host.draining.Load() {
