One function for the pause of unreachable targets; one for the bound on weights

Targets that are not reached directly and through other hosts pause by the same rule, which stood in two places. loadReportLag stood inside the constants of SenderRole and shifted their values by one; these are compared by name only, so that nothing behaved otherwise. Tests of internal/fleet and internal/gossip pass.

--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -34,13 +34,14 @@
 	role       SenderRole
 }
 
+// loadReportLag is how far a load report may lag behind the state of its target.
+const loadReportLag = 500 * time.Millisecond
+
 // SenderRole is the role of a host that reports its in-flight load to this one.
 type SenderRole int
 
 // Sender roles.
 const (
-	// loadReportLag is how far a load report may lag behind the state of its target.
-	loadReportLag = 500 * time.Millisecond
 	// Peer reports its own load to every host itself.
 	Peer SenderRole = iota
 	// Follower reports to this host only, which passes the load on to the others.
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -18,11 +18,17 @@
 // for a growing time.
 func (f *Fleet) markUnreachable(s *state, now time.Duration) {
 	s.connectFailures++
-	s.downUntil = now + min(minDownTime<<min(s.connectFailures-1, 3), maxDownTime)
+	s.downUntil = now + downTime(s.connectFailures)
 	s.suspected, s.probing = false, false
 	f.onChange(Change{Target: *s.Target, Event: "unreachable"})
 }
 
+// downTime returns the time for which a target gets no requests after a number of failed
+// connections in a row.
+func downTime(failures int) time.Duration {
+	return min(minDownTime<<min(failures-1, 3), maxDownTime)
+}
+
 // markReachable records that a target accepted a connection.
 func (f *Fleet) markReachable(s *state, now time.Duration) {
 	if s.connectFailures > 0 {
@@ -47,10 +53,11 @@
 	now := f.now()
 	for _, id := range ids {
 		s, ok := f.targets[id]
-		if ok {
-			s.tunnel.reportedAt = now
+		if !ok {
+			continue
 		}
-		if ok && s.worthProbing(now) {
+		s.tunnel.reportedAt = now
+		if s.worthProbing(now) {
 			f.suspect(s, now, host)
 		}
 	}
--- a/internal/fleet/tunnel.go
+++ b/internal/fleet/tunnel.go
@@ -12,10 +12,6 @@
 	// reportTTL is how long the report of another host counts that a target is
 	// unreachable.
 	reportTTL = 1500 * time.Millisecond
-	// minTunnelPause and maxTunnelPause bound the time for which a target gets no requests
-	// after it was not reached through another host either.
-	minTunnelPause = 250 * time.Millisecond
-	maxTunnelPause = 2 * time.Second
 	// cutOffTTL is how long a connection through another host shows that targets run from
 	// which this host is cut off.
 	cutOffTTL = 3 * time.Second
@@ -29,7 +25,7 @@
 	computedAt time.Duration
 }
 
-// tunnelState is what a host knows of a target that it can reach through other hosts only.
+// tunnelState is the state of a target that this host reaches through other hosts only.
 type tunnelState struct {
 	// failures counts the failed connections through other hosts in a row. No further one
 	// is tried until retryAt.
@@ -122,7 +118,7 @@
 		s.tunnel.failures, s.tunnel.retryAt, s.tunnel.reachedAt = 0, 0, f.now()
 	default:
 		s.tunnel.failures++
-		s.tunnel.retryAt = f.now() + min(minTunnelPause<<min(s.tunnel.failures-1, 3), maxTunnelPause)
+		s.tunnel.retryAt = f.now() + downTime(s.tunnel.failures)
 		f.onChange(Change{Target: *s.Target, Event: "unreachable through other hosts"})
 	}
 }
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -189,17 +189,20 @@
 // store's clock (0.2 s), the way to the engine and a busy host.
 const withdrawalMargin = 700 * time.Millisecond
 
+// weightsBound returns the platform's bound on the begin of requests on replaced weights.
+func (s Settings) weightsBound() time.Duration {
+	return time.Duration(s.Weights * float64(time.Millisecond))
+}
+
 // staleLimits returns what engines with older weights may get after an announcement.
 func (s Settings) staleLimits() proxy.StaleLimits {
-	return proxy.StaleLimits{
-		Send: s.staleWeightsLimit(), Withdraw: max(time.Duration(s.Weights*float64(time.Millisecond))-withdrawalMargin, 0),
-	}
+	return proxy.StaleLimits{Send: s.staleWeightsLimit(), Withdraw: max(s.weightsBound()-withdrawalMargin, 0)}
 }
 
 // staleWeightsLimit returns how long after an announcement of new weights requests may
 // be sent to engines with older ones.
 func (s Settings) staleWeightsLimit() time.Duration {
-	return max(time.Duration(s.Weights*float64(time.Millisecond))-requestStartMargin, 0)
+	return max(s.weightsBound()-requestStartMargin, 0)
 }
 
 // distance returns the distance class of a zone as seen from the host.
