--- a/internal/roll/order.go
+++ b/internal/roll/order.go
@@ -34,7 +34,8 @@
 	maxUnansweredTimeout = 4 * time.Second
 	// unansweredInterval is the time between two polls of an engine with an unanswered
 	// order, or more, so that all such engines get at most maxUnansweredPolls a second
-	// (20 KB/s of the lease holder, at an estimated 400 B each). Requests show the weights of an engine too.
+	// (20 KB/s of the lease holder, at an estimated 400 B each). Responses to requests show
+	// the weights of an engine too.
 	unansweredInterval = 400 * time.Millisecond
 	maxUnansweredPolls = 50
 	// lateOrders is the number of unanswered orders in a row from which orders count as
@@ -43,28 +44,30 @@
 	lateOrdersTTL = 10 * time.Second
 )
 
-// phase is the state of an order, as far as the host that sent it knows.
-type phase int
+// Phase is the state of an order at the host that sends it.
+type Phase int
 
 const (
-	// sending lasts until the engine has answered, or has not answered in time.
-	sending phase = iota
-	// loading means that the engine has accepted the order.
-	loading
-	// unanswered means that the engine may carry out the order now, later or never. It
+	// NoOrder means that the engine may be ordered.
+	NoOrder Phase = iota
+	// Sending lasts until the engine has answered, or has not answered in time.
+	Sending
+	// Loading means that the engine has accepted the order.
+	Loading
+	// Unanswered means that the engine may carry out the order now, later or never. It
 	// serves until then.
-	unanswered
+	Unanswered
 )
 
 // order is an order in progress.
 type order struct {
-	phase phase
+	phase Phase
 	// drained is set if the engine gets no requests while the order is sent.
 	drained bool
 }
 
 // outOfService reports whether the engine should get no requests.
-func (o *order) outOfService() bool { return o.phase == loading || o.phase == sending && o.drained }
+func (o *order) outOfService() bool { return o.phase == Loading || o.phase == Sending && o.drained }
 
 // tries counts the orders of a version to an engine.
 type tries struct{ version, count int }
@@ -134,7 +137,7 @@
 }
 
 // setPhase changes the state of the order to an engine.
-func (r *Roller) setPhase(e Engine, p phase) {
+func (r *Roller) setPhase(e Engine, p Phase) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.orders[e.ID]
@@ -171,15 +174,15 @@
 		return outcome{loaded: before.Versions[e.Model]}
 	}
 	if before.Busy {
-		r.setPhase(e, loading)
+		r.setPhase(e, Loading)
 		return r.waitLoaded(ctx, e, version)
 	}
 	switch r.send(ctx, e, version, before.Sequence) {
 	case AlreadyLoaded, Accepted:
-		r.setPhase(e, loading)
+		r.setPhase(e, Loading)
 		return r.waitLoaded(ctx, e, version)
 	case Unknown:
-		r.setPhase(e, unanswered)
+		r.setPhase(e, Unanswered)
 		return r.awaitUnanswered(ctx, e, version, before.Sequence)
 	}
 	return failed
@@ -258,7 +261,7 @@
 		case r.loadedVersion(e, report, version):
 			return outcome{loaded: report.Versions[e.Model]}
 		case report.Busy:
-			r.setPhase(e, loading)
+			r.setPhase(e, Loading)
 			return r.waitLoaded(ctx, e, version)
 		case report.Sequence != sequence:
 			return outcome{}
--- a/internal/roll/outdated.go
+++ b/internal/roll/outdated.go
@@ -39,11 +39,11 @@
 	switch {
 	case e.Version >= desired:
 		return ""
-	case e.Accepted:
+	case e.Order == Loading:
 		return LoadingWeights
-	case e.Ordering:
+	case e.Order == Sending:
 		return BeingOrdered
-	case e.Unanswered:
+	case e.Order == Unanswered:
 		return NoAnswer
 	case e.Down:
 		return Unreachable
--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -71,10 +71,8 @@
 	Version int
 	Calls   int
 	Down    bool
-	// Ordering is set while the engine is ordered, or loads weights by an order, and Accepted
-	// from when it has accepted the order. Unanswered is set while it may still carry out an
-	// order that it has not answered.
-	Ordering, Accepted, Unanswered bool
+	// Order is the state of the order to the engine.
+	Order Phase
 	// NotBefore is the boot time from which the engine may be ordered again after a failed
 	// order.
 	NotBefore time.Duration
@@ -106,11 +104,11 @@
 		if !counted[e.ID] {
 			counted[e.ID] = true
 			total[e.Service]++
-			if e.Ordering {
+			if e.Order == Sending || e.Order == Loading {
 				outOfService[e.Service]++
 			}
 		}
-		if !e.Ordering && !e.Unanswered && !e.Down && e.Version < desired[e.Model] && now >= e.NotBefore {
+		if e.Order == NoOrder && !e.Down && e.Version < desired[e.Model] && now >= e.NotBefore {
 			due = append(due, e)
 		}
 	}
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -149,7 +149,7 @@
 	for i := range engines {
 		e := &engines[i]
 		if o := r.orders[e.ID]; o != nil {
-			e.Ordering, e.Accepted, e.Unanswered = o.phase != unanswered, o.phase == loading, o.phase == unanswered
+			e.Order = o.phase
 		}
 		if t := r.tries[e.key()]; t.version == desired[e.Model] {
 			e.Tries = t.count
@@ -166,7 +166,7 @@
 	r.mu.Lock()
 	drained := !r.ordersAreLate()
 	for _, e := range next {
-		r.orders[e.ID] = &order{drained: drained}
+		r.orders[e.ID] = &order{phase: Sending, drained: drained}
 	}
 	r.unpublished = r.unpublished || drained
 	r.mu.Unlock()
--- a/internal/roll/roll_test.go
+++ b/internal/roll/roll_test.go
@@ -70,7 +70,7 @@
 
 	It("skips engines that load, are down, wait for a retry or are up to date", func() {
 		list := engines(4, 1)
-		list[0].Ordering, list[1].Down, list[2].NotBefore, list[3].Version = true, true, time.Second, 2
+		list[0].Order, list[1].Down, list[2].NotBefore, list[3].Version = roll.Sending, true, time.Second, 2
 		Expect(roll.Plan(list, map[string]int{"m": 2}, 0)).To(BeEmpty())
 	})
 })
