Plain terms for targets that do not answer and for records of streams

Names and comments said silent, knows and tells; the values of Reach, the test modes and the messages say what is measured. The refusal of a stream without a record names the remedy. What lets an attempt go on at another target stands beside its causes. No change of behaviour but the text of that refusal; tests of the packages changed and of the cuts, streams and stops in ./platform pass with -race.

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -80,7 +80,7 @@
 
 func (s *simulation) now() time.Duration { return time.Duration(s.step) * simulatedStep }
 
-// exchange lets each host read its list, and hear of the others if their messages come.
+// exchange lets each host read its list, and receive those of the others if their messages come.
 func (s *simulation) exchange() {
 	for i, h := range s.hosts {
 		h.Observe(listed(s.lists[max(s.step-s.listLag[i], 0)]...), s.now())
@@ -114,7 +114,7 @@
 	s.streams = append(s.streams, stream)
 }
 
-// Guards against a host that takes the only version that it knows for that of a stream
+// Guards against a host that takes the only version that it has received for that of a stream
 // which another version began, however late it learns of versions.
 func TestHostGuessesNoVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -55,9 +55,9 @@
 	// noDataLimit is for how long a target may send no data to this host, on any
 	// request, before a stream that can be resumed elsewhere may leave it.
 	noDataLimit = 800 * time.Millisecond
-	// maxSilentChecks is the number of checks in a row, noDataLimit apart, to which a target
+	// maxUnansweredChecks is the number of checks in a row, noDataLimit apart, to which a target
 	// does not answer before a stream may leave it.
-	maxSilentChecks = 2
+	maxUnansweredChecks = 2
 	// stallGapFactor limits the pause between two events of a stream, in multiples
 	// of the longest pause that the route allows.
 	stallGapFactor = 4
@@ -177,6 +177,13 @@
 // no data.
 var errTargetStalled = errors.New("the target has sent no data for too long")
 
+// leftTarget reports whether an attempt was cancelled for a reason that lets the request go
+// on at another target.
+func leftTarget(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, errTargetStalled) || errors.Is(cause, errWithdrawn)
+}
+
 // watchStall cancels an attempt at a target that sends no data if the request can
 // be resumed at another one. It leaves a stream alone while the target sends data
 // on other requests or accepts connections, since the stream may be queued there.
@@ -190,7 +197,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	alternatives := p.alternativesTo(j, c)
 	go safego.Do(j.log, "stall watch", func() {
-		idle, silent := time.Duration(0), silence{}
+		idle, checks := time.Duration(0), reachChecks{}
 		for pause.For(ctx, max(noDataLimit-idle, stallCheckInterval)) == nil {
 			lastEvent := time.Duration(j.lastEventAt.Load())
 			idle = wire.BootTime() - max(started, lastEvent)
@@ -199,7 +206,7 @@
 				// The request may be queued there, or the engine may prefill other
 				// prompts.
 				probedAt = wire.BootTime()
-				unreachable = silent.lasts(p.paths.Reach(ctx, c.Service, c.ID, c.Address)) && ctx.Err() == nil
+				unreachable = checks.failed(p.paths.Reach(ctx, c.Service, c.ID, c.Address)) && ctx.Err() == nil
 			}
 			stalled := lastEvent >= started && idle > max(stallGapFactor*j.route.MaxGap, noDataLimit) && c.attempt.NoDataFor(noDataLimit)
 			if (unreachable || stalled || idle > limit && c.attempt.QueueEmpty()) && alternatives(lastEvent >= started) {
@@ -213,7 +220,7 @@
 
 // alternativesTo returns a function that reports whether another target may go on with a
 // stream, by whether this one has begun it. A stream whose software version serves
-// nowhere else had better wait for a target that is silent.
+// nowhere else had better wait for a target that does not answer.
 func (p *Proxy) alternativesTo(j *job, c reservation) func(begun bool) bool {
 	service, before, excluded := j.service.Name, j.binding, maps.Clone(j.excluded)
 	return func(begun bool) bool {
@@ -232,25 +239,25 @@
 // the target.
 func (p *Proxy) unreachable(ctx context.Context, c reservation) bool {
 	reach := p.paths.Reach(ctx, c.Service, c.ID, c.Address)
-	return (reach == Unreachable || reach == Silent) && ctx.Err() == nil
+	return (reach == Unreachable || reach == Unresponsive) && ctx.Err() == nil
 }
 
-// silence counts the checks in a row to which a target did not answer.
-type silence struct{ checks int }
+// reachChecks counts the checks in a row to which a target did not answer.
+type reachChecks struct{ unanswered int }
 
-// lasts records the result of a check and reports whether a stream may leave the target:
-// it refuses connections, or has not answered maxSilentChecks times. A sound target may
-// fall silent for a second or so and go on.
-func (s *silence) lasts(r Reach) bool {
+// failed records the result of a check and reports whether a stream may leave the target:
+// it refuses connections, or has not answered maxUnansweredChecks times. A sound target may
+// stop for a second or so and go on.
+func (c *reachChecks) failed(r Reach) bool {
 	switch r {
 	case Unreachable:
 		return true
-	case Silent:
-		s.checks++
+	case Unresponsive:
+		c.unanswered++
 	default:
-		s.checks = 0
+		c.unanswered = 0
 	}
-	return s.checks >= maxSilentChecks
+	return c.unanswered >= maxUnansweredChecks
 }
 
 // handleSendError decides what follows an attempt that got no response.
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -49,7 +49,7 @@
 }
 
 // refuseLate refuses a request that cannot be finished before the host stops. Streams that
-// come late are refused whatever their length, which nobody knows.
+// come late are refused, as their length is unknown.
 func (p *Proxy) refuseLate(j *job) bool {
 	d := p.draining.Load()
 	now := wire.BootTime()
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -211,7 +211,7 @@
 		return
 	}
 	if !p.bindToOrigin(ctx, j) {
-		p.refuse(j, "no host knows which software version began the stream", p.retryAfter(j))
+		p.refuse(j, "no host has a record of the software version that began the stream; retry, or begin the stream anew", p.retryAfter(j))
 		return
 	}
 	for {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -13,7 +13,7 @@
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
-// Origins knows which software version began each stream. A stream may go on only at that
+// Origins records which software version began each stream. A stream may go on only at that
 // version.
 type Origins interface {
 	// Begin records that a request brings the first events of a stream, or goes on with
@@ -33,7 +33,7 @@
 type OriginFound struct{ origin.Origin }
 
 // OriginUnknown says that the service has more than one software version and that no host
-// knows which of them began the stream.
+// has a record of the one that began the stream.
 type OriginUnknown struct{}
 
 func (OriginFound) originResult()   {}
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -16,10 +16,10 @@
 	Reachable Reach = iota
 	// Unreachable means that the target refuses connections.
 	Unreachable
-	// Silent means that the target does not answer. It may be sound and go on soon.
-	Silent
-	// ReachUnknown means that this host is cut off from the targets, and that no other one
-	// tells.
+	// Unresponsive means that the target does not answer. It may be sound and go on soon.
+	Unresponsive
+	// ReachUnknown means that this host is cut off from the targets, and that no other host
+	// has tried.
 	ReachUnknown
 )
 
@@ -53,7 +53,7 @@
 	case err == nil:
 		return Reachable
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return Silent
+		return Unresponsive
 	}
 	return Unreachable
 }
--- a/internal/proxy/withdraw.go
+++ b/internal/proxy/withdraw.go
@@ -95,10 +95,3 @@
 func (w *withdrawal) begun() bool {
 	return time.Duration(w.job.firstEventAt.Load()) >= w.sent || w.reservation.attempt.QueueEmptySince(w.sent)
 }
-
-// leftTarget reports whether an attempt was cancelled for a reason that lets the request go
-// on at another target.
-func leftTarget(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	return errors.Is(cause, errTargetStalled) || errors.Is(cause, errWithdrawn)
-}
--- a/internal/roll/plan.go
+++ b/internal/roll/plan.go
@@ -51,7 +51,7 @@
 	Fenced
 	// WrongEngine means that another engine listens at the address.
 	WrongEngine
-	// Rejected means that the engine knows no such order or version.
+	// Rejected means that the engine has no such order or version.
 	Rejected
 )
 
--- a/internal/tunnel/doc.go
+++ b/internal/tunnel/doc.go
@@ -2,8 +2,8 @@
 //
 // A host that has lost its path to the targets, but not to the other hosts, opens a
 // tunnel at a host that has one. The host that opened it stays the one that decides: the
-// other only connects to the target and passes bytes on, to targets that it knows and for
-// hosts that it knows, and never through a third host.
+// other only connects to the target and passes bytes on, to targets that it lists and for
+// hosts that it lists, and never through a third host.
 //
 // A tunnel is a connection that is upgraded (HTTP status 101). Bytes to the target follow
 // as they are. Bytes from the target come in frames, a length of four bytes before each,
