--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -43,7 +43,7 @@
 	"software": playSoftware,
 	"taken":    playTaken,
 	"wall":     playWall,
-	"leaving":  playLeaving,
+	"vanished": playVanished,
 }
 
 func main() {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -43,6 +43,8 @@
 	beats    int
 	running  int
 	leaving  bool
+	// left is set once the worker writes no more entries.
+	left bool
 	// cache holds the tenant that made each cached part, by salt and part.
 	cache    map[[2]string]string
 	onCached func(w *Worker, request, tenant, part, madeBy string)
@@ -108,6 +110,14 @@
 	}
 }
 
+// Leave makes the worker write no more entries. It goes on serving.
+func (k *Worker) Leave() {
+	k.mu.Lock()
+	k.left = true
+	k.mu.Unlock()
+	k.record.Add("worker %s leaves without a report, its entry is removed", k.ID)
+}
+
 // Drain reports that the worker leaves.
 func (k *Worker) Drain(sayIt bool) {
 	k.mu.Lock()
@@ -132,6 +142,10 @@
 
 func (k *Worker) register() {
 	k.mu.Lock()
+	if k.left {
+		k.mu.Unlock()
+		return
+	}
 	k.beats++
 	v := map[string]any{
 		"Service": k.service, "Address": k.address, "Zone": k.zone, "Version": k.software, "Slots": k.slots,
