--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case; claim.txt says what it shows. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.."
-exec target/review/stand taken review/2/record.txt
+exec target/review/stand taken review/4/record.txt
