--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -39,10 +39,10 @@
 
 // cases are the cases by their names. Each returns what it saw and whether the rule was broken.
 var cases = map[string]func(s *stage) (broken bool, seen string){
-	"holder":   playHolder,
 	"software": playSoftware,
 	"taken":    playTaken,
 	"wall":     playWall,
+	"stopped":  playStopped,
 	"vanished": playVanished,
 }
 
@@ -133,5 +133,5 @@
 
 // newWorker returns a worker that has not started.
 func (s *stage) newWorker(id, service string) *Worker {
-	return &Worker{store: s.store, record: s.record, ID: id, service: service, zone: "sul-a", streams: service == llm, slots: defaultSlots}
+	return &Worker{store: s.store, record: s.record, ID: id, service: service, zone: "sul-a", streams: service == llm, slots: defaultSlots, loadTime: loadTime}
 }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -30,6 +30,7 @@
 	gap      time.Duration
 	work     time.Duration
 	slots    int
+	loadTime time.Duration
 	address  string
 	onRun    func(w *Worker, r *http.Request, from int)
 	onOrder  func(w *Worker, o map[string]any)
@@ -286,7 +287,7 @@
 	default:
 		k.busy = true
 		k.sequence++
-		time.AfterFunc(loadTime, func() {
+		time.AfterFunc(k.loadTime, func() {
 			k.mu.Lock()
 			k.weights, k.busy = version, false
 			k.mu.Unlock()
