--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -175,5 +174,3 @@
 	go pass(t, c)
 	pass(c, t)
 }
-
-func requestID(format string, args ...any) string { return fmt.Sprintf(format, args...) }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,7 +26,6 @@
 	routeHost = "review.example"
 	modelName = "m"
 	llm       = "llm"
-	app       = "app"
 )
 
 // stage is what a case plays on.
@@ -98,8 +97,7 @@
 	Dedicated bool
 }
 
-// putConfig writes a configuration with a route of streams that may be resumed, and one of
-// requests that may run once.
+// putConfig writes a configuration with one route, of streams that may be resumed.
 func (s *stage) putConfig(version int, tenants ...tenant) {
 	s.store.Put("op", "config", map[string]any{
 		"Version": version,
@@ -108,17 +106,12 @@
 				"Name": "history", "Host": routeHost, "Prefix": "/history/", "Kind": "streaming", "TimeoutMs": 15000, "GoalMs": 1000,
 				"Priority": 2, "Service": llm, "Attempts": 2, "Public": false, "Sticky": true, "Resumable": true, "GapAimMs": 500,
 			},
-			map[string]any{
-				"Name": "dispatch", "Host": routeHost, "Prefix": "/dispatch/", "Kind": "non_idempotent", "TimeoutMs": 4000, "GoalMs": 250,
-				"Priority": 2, "Service": app, "Attempts": 1, "Public": false, "Sticky": false, "Resumable": false,
-			},
 		},
 		"Services": []any{
 			map[string]any{"Name": llm, "HealthPath": "/health", "MaxConns": 290, "Protocol": "h1", "Tls": false, "Engine": map[string]any{
 				"Slots": defaultSlots, "KvCapacity": 119587, "KvTokenBytes": 163840, "LinkMbps": 180000.0, "MaxInflight": 12, "Managed": true,
 				"Models": []any{map[string]any{"Name": modelName}},
 			}},
-			map[string]any{"Name": app, "HealthPath": "/health", "MaxConns": 96, "Protocol": "h1", "Tls": false},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": tenants,
@@ -131,7 +124,7 @@
 	return NewHost(s.record, s.directory, hostName, ip, s.store.Door(hostName))
 }
 
-// newWorker returns a worker that has not started.
-func (s *stage) newWorker(id, service string) *Worker {
-	return &Worker{store: s.store, record: s.record, ID: id, service: service, zone: "sul-a", streams: service == llm, slots: defaultSlots, loadTime: loadTime}
+// newWorker returns an engine that has not started.
+func (s *stage) newWorker(id string) *Worker {
+	return &Worker{store: s.store, record: s.record, ID: id, service: llm, zone: "sul-a", slots: defaultSlots, loadTime: loadTime}
 }
--- a/review/stand/software.go
+++ b/review/stand/software.go
@@ -17,11 +17,12 @@
 	awayFor  = 9 * time.Second
 	// exitAfter is how long a worker serves after its report that it leaves, and startAfter
 	// the time from its exit to its start.
-	exitAfter   = drainMs*time.Millisecond + 300*time.Millisecond
-	startAfter  = time.Second
-	upgradeGap  = time.Second
-	lastGap     = 4400 * time.Millisecond
-	allowedRuns = 2
+	exitAfter  = drainMs*time.Millisecond + 300*time.Millisecond
+	startAfter = time.Second
+	upgradeGap = time.Second
+	lastGap    = 4400 * time.Millisecond
+	// allowedMixed is the number of streams that may hold events of two software versions.
+	allowedMixed = 2
 )
 
 // playSoftware upgrades workers in place, one after the other, while the store turns one of
@@ -30,7 +31,7 @@
 	s.putConfig(3, tenant{Name: "alfa", ApiKeys: []string{"key-alfa"}})
 	var workers []*Worker
 	for i := range softwareWorkers {
-		k := s.newWorker(fmt.Sprintf("i-llm-%d", i), llm)
+		k := s.newWorker(fmt.Sprintf("i-llm-%d", i))
 		k.events, k.gap = 30, 150*time.Millisecond
 		k.slots = softwareSlots
 		k.Start("v1")
@@ -59,7 +60,7 @@
 					return
 				default:
 				}
-				id := requestID("s-%d-%d", c, n)
+				id := fmt.Sprintf("s-%d-%d", c, n)
 				a := do(s.record, hosts[0].Front, Request{
 					ID: id, Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a%d:400,b%d%d:200", c, c, n), Timeout: 15 * time.Second,
 				}, 4*time.Second)
@@ -90,7 +91,7 @@
 	time.Sleep(200 * time.Millisecond)
 	for i, k := range workers[:upgraded] {
 		go func() {
-			k.Drain(true)
+			k.Drain()
 			time.Sleep(exitAfter)
 			k.Exit(true)
 			time.Sleep(startAfter)
@@ -105,5 +106,5 @@
 	time.Sleep(awayFor)
 	close(stop)
 	clients.Wait()
-	return mixed > allowedRuns, fmt.Sprintf("%d of %d streams hold events of two software versions; %d are allowed", mixed, streams, allowedRuns)
+	return mixed > allowedMixed, fmt.Sprintf("%d of %d streams hold events of two software versions; %d are allowed", mixed, streams, allowedMixed)
 }
--- a/review/stand/stopped.go
+++ b/review/stand/stopped.go
@@ -25,7 +25,7 @@
 	last := map[string]orderSeen{}
 	newest, least, orders := "", time.Hour, 0
 	for i := range stoppedEngines {
-		k := s.newWorker(fmt.Sprintf("i-llm-%02d", i), llm)
+		k := s.newWorker(fmt.Sprintf("i-llm-%02d", i))
 		k.loadTime = loadTime + time.Duration(i%7)*20*time.Millisecond // the workers are not alike
 		k.onOrder = func(k *Worker, o map[string]any) {
 			mu.Lock()
--- a/review/stand/taken.go
+++ b/review/stand/taken.go
@@ -19,7 +19,7 @@
 func playTaken(s *stage) (bool, string) {
 	s.putConfig(3, tenant{Name: "alfa", ApiKeys: []string{"key-alfa"}})
 	for i := range 4 {
-		k := s.newWorker(fmt.Sprintf("i-llm-%d", i), llm)
+		k := s.newWorker(fmt.Sprintf("i-llm-%d", i))
 		k.events, k.gap = 40, 200*time.Millisecond
 		k.Start("v1")
 	}
@@ -39,7 +39,7 @@
 	var clients sync.WaitGroup
 	for c := range takenStreams {
 		clients.Go(func() {
-			q := Request{ID: requestID("t-%d", c), Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a1:400,b%d:200", c), Timeout: 15 * time.Second}
+			q := Request{ID: fmt.Sprintf("t-%d", c), Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a1:400,b%d:200", c), Timeout: 15 * time.Second}
 			end := time.Now().Add(q.Timeout)
 			a := do(s.record, link.Address(), q, abandonAfter)
 			if a.Complete || len(a.Events) == 0 {
@@ -52,7 +52,7 @@
 					break
 				}
 				again := Request{
-					ID: requestID("t-%d-again-%d", c, try), Key: q.Key, Path: q.Path, Parts: q.Parts, Timeout: left, Last: last, Resumes: q.ID,
+					ID: fmt.Sprintf("t-%d-again-%d", c, try), Key: q.Key, Path: q.Path, Parts: q.Parts, Timeout: left, Last: last, Resumes: q.ID,
 				}
 				b := do(s.record, hosts[1+(c+try)%2].Front, again, abandonAfter)
 				on = b.Status == 200 && len(b.Events) > 0 && b.Events[0].ID == last+1
@@ -73,14 +73,14 @@
 		s.record.Add("host %s has lost power", hosts[0].Name)
 	}
 	time.Sleep(time.Second)
-	k := s.newWorker("i-llm-new", llm)
+	k := s.newWorker("i-llm-new")
 	k.events, k.gap = 40, 200*time.Millisecond
 	k.Start("v2")
 	time.Sleep(time.Second)
 	for n := range takenStreams {
 		clients.Go(func() {
 			time.Sleep(time.Duration(n) * 150 * time.Millisecond)
-			q := Request{ID: requestID("n-%d", n), Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a1:400,c%d:200", n), Timeout: 15 * time.Second}
+			q := Request{ID: fmt.Sprintf("n-%d", n), Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a1:400,c%d:200", n), Timeout: 15 * time.Second}
 			a := do(s.record, hosts[1+n%2].Front, q, abandonAfter)
 			mu.Lock()
 			defer mu.Unlock()
--- a/review/stand/vanished.go
+++ b/review/stand/vanished.go
@@ -22,7 +22,7 @@
 func playVanished(s *stage) (bool, string) {
 	s.putConfig(3, tenant{Name: "alfa", ApiKeys: []string{"key-alfa"}})
 	start := func(id, software string) *Worker {
-		k := s.newWorker(id, llm)
+		k := s.newWorker(id)
 		k.events, k.gap = 40, 250*time.Millisecond
 		k.Start(software)
 		return k
@@ -43,7 +43,7 @@
 	var clients sync.WaitGroup
 	for c := range vanishedStreams {
 		clients.Go(func() {
-			q := Request{ID: requestID("v-%d", c), Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a%d:400,b%d:200", c, c), Timeout: 15 * time.Second}
+			q := Request{ID: fmt.Sprintf("v-%d", c), Key: "key-alfa", Path: "/history/x", Parts: fmt.Sprintf("a%d:400,b%d:200", c, c), Timeout: 15 * time.Second}
 			end := time.Now().Add(q.Timeout)
 			a := do(s.record, hosts[c%3].Front, q, abandonAfter)
 			versions := map[string]bool{}
@@ -59,7 +59,7 @@
 					break
 				}
 				b := do(s.record, hosts[(c+try)%3].Front, Request{
-					ID: requestID("v-%d-again-%d", c, try), Key: q.Key, Path: q.Path, Parts: q.Parts, Timeout: left,
+					ID: fmt.Sprintf("v-%d-again-%d", c, try), Key: q.Key, Path: q.Path, Parts: q.Parts, Timeout: left,
 					Last: a.Events[len(a.Events)-1].ID, Resumes: q.ID,
 				}, abandonAfter)
 				note(b.Events)
@@ -99,5 +99,5 @@
 		}
 	}
 	clients.Wait()
-	return mixed > allowedRuns, fmt.Sprintf("%d of %d streams hold events of two software versions over their clients' tries, of %d that went on; %d are allowed", mixed, vanishedStreams, taken, allowedRuns)
+	return mixed > allowedMixed, fmt.Sprintf("%d of %d streams hold events of two software versions over their clients' tries, of %d that went on; %d are allowed", mixed, vanishedStreams, taken, allowedMixed)
 }
--- a/review/stand/wall.go
+++ b/review/stand/wall.go
@@ -18,7 +18,7 @@
 	var mu sync.Mutex
 	dedicated, foreign := false, 0
 	for i := range 2 {
-		k := s.newWorker(fmt.Sprintf("i-llm-%d", i), llm)
+		k := s.newWorker(fmt.Sprintf("i-llm-%d", i))
 		k.events, k.gap = 3, 50*time.Millisecond
 		k.onCached = func(_ *Worker, _, by, _, madeBy string) {
 			mu.Lock()
@@ -34,7 +34,7 @@
 	h.AwaitReady()
 	send := func(who string, n int) {
 		do(s.record, h.Front, Request{
-			ID: requestID("%s-%d", who, n), Key: "key-" + who, Path: "/history/x", Parts: fmt.Sprintf("a1:400,%s%d:200", who, n), Timeout: 5 * time.Second,
+			ID: fmt.Sprintf("%s-%d", who, n), Key: "key-" + who, Path: "/history/x", Parts: fmt.Sprintf("a1:400,%s%d:200", who, n), Timeout: 5 * time.Second,
 		}, 4*time.Second)
 	}
 	for n := range 6 {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -18,40 +18,43 @@
 	loadTime     = 430 * time.Millisecond
 )
 
-// Worker is a worker of a service: an engine whose answers are streams, or a plain one.
+// Worker is an engine, whose answers are streams.
 type Worker struct {
-	store    *Store
-	record   *Record
-	ID       string
-	service  string
-	zone     string
-	streams  bool
+	store  *Store
+	record *Record
+	ID     string
+	// service, zone and slots stand in its entry.
+	service, zone string
+	slots         int
+	// events and gap are those of a stream, loadTime is the time that new weights take.
 	events   int
 	gap      time.Duration
-	work     time.Duration
-	slots    int
 	loadTime time.Duration
 	address  string
-	onRun    func(w *Worker, r *http.Request, from int)
-	onOrder  func(w *Worker, o map[string]any)
-	mu       sync.Mutex
+	// onOrder is called with each order, onCached with each use of a cached part.
+	onOrder  func(k *Worker, order map[string]any)
+	onCached func(k *Worker, request, tenant, part, madeBy string)
+
+	mu sync.Mutex // guards the fields below
+	// software and born are those of the present start, state is that in the entry, and
+	// leaving says that answers name it.
 	software string
 	born     int64
 	state    string
+	leaving  bool
+	// left is set once the worker writes no more entries.
+	left bool
+	// weights is the version of the weights, sequence the number of orders accepted.
 	weights  int
 	sequence int
 	busy     bool
 	beats    int
 	running  int
-	leaving  bool
-	// left is set once the worker writes no more entries.
-	left bool
 	// cache holds the tenant that made each cached part, by salt and part.
-	cache    map[[2]string]string
-	onCached func(w *Worker, request, tenant, part, madeBy string)
-	server   *http.Server
-	conns    map[net.Conn]bool
-	stopped  chan struct{}
+	cache   map[[2]string]string
+	server  *http.Server
+	conns   map[net.Conn]bool
+	stopped chan struct{}
 }
 
 // Start starts the worker at its address, after it has registered.
@@ -119,10 +122,10 @@
 	k.record.Add("worker %s leaves without a report, its entry is removed", k.ID)
 }
 
-// Drain reports that the worker leaves.
-func (k *Worker) Drain(sayIt bool) {
+// Drain reports that the worker leaves, which it says in its answers too.
+func (k *Worker) Drain() {
 	k.mu.Lock()
-	k.state, k.leaving = "draining", sayIt
+	k.state, k.leaving = "draining", true
 	k.mu.Unlock()
 	k.register()
 	k.record.Add("worker %s reports draining, acknowledged by the store", k.ID)
@@ -152,10 +155,8 @@
 		"Service": k.service, "Address": k.address, "Zone": k.zone, "Version": k.software, "Slots": k.slots,
 		"State": k.state, "ColdLeftMs": 0, "Sequence": k.beats, "born": k.born,
 	}
-	if k.streams {
-		v["Stage"] = "colocated"
-		v["Models"] = []any{map[string]any{"Name": modelName, "Version": k.weights, "Adapters": []any{}}}
-	}
+	v["Stage"] = "colocated"
+	v["Models"] = []any{map[string]any{"Name": modelName, "Version": k.weights, "Adapters": []any{}}}
 	k.mu.Unlock()
 	k.store.Put("servers", k.ID, v)
 }
@@ -193,25 +194,12 @@
 	defer k.count(-1)
 	from, _ := strconv.Atoi(r.Header.Get(name["last"]))
 	k.record.Add("worker %s (software %s) runs %s %s %s, tenant %q, after event %d, body %d bytes", k.ID, software, id, r.Method, r.URL.Path, r.Header.Get(name["tenant"]), from, len(body))
-	if k.onRun != nil {
-		k.onRun(k, r, from)
-	}
 	h.Set(name["seal"], "seal-"+id+"-"+k.ID)
 	h.Set(name["load"], fmt.Sprintf("%d,0,%d", k.running, k.slots))
-	if k.streams {
-		k.readPrompt(r, id)
-		h.Set(name["weights"], strconv.Itoa(weights))
-		h.Set("Content-Type", "text/event-stream")
-		k.stream(w, r, from, software)
-		return
-	}
-	select {
-	case <-time.After(k.work):
-	case <-r.Context().Done():
-		return
-	}
-	h.Set("Content-Type", "text/plain")
-	_, _ = fmt.Fprintf(w, "%s done by %s", id, k.ID)
+	k.readPrompt(r, id)
+	h.Set(name["weights"], strconv.Itoa(weights))
+	h.Set("Content-Type", "text/event-stream")
+	k.stream(w, r, from, software)
 }
 
 func (k *Worker) count(d int) {
