Store the software versions of services, which outlive all hosts

Cause: only running hosts knew which versions may have begun a stream. New processes saw v2 alone in the list and took it for the only version.

Change: a row of the platform holds the versions of each service. A host receives it with a table that it follows already, and takes no version for the only one before that.

--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -4,9 +4,15 @@
 // only at the version that began it. A caller that resumes a stream names the
 // request that brought its first event, mostly at another host. Each host remembers the
 // streams that it has begun. While a service has more than one version, it also sends
-// them to a few other hosts, its owners, which a host with an unknown stream queries.
+// them to a few other hosts, its owners, which a host with an unknown stream queries, and
+// stores them on the platform, which outlives the hosts.
 // While there is one version, nothing is sent: it is the origin of every stream.
 //
+// The version that was the only one before others appeared is the base. The record of a
+// stream that begins at another version is stored before its caller gets events of it, so
+// that a stream without a record began at the base. The versions and the base are stored
+// as well: a host that has just started does not know which versions have vanished.
+//
 // A version that appears gets new streams only after SettleTime, in which all hosts learn
 // of it, so that no host takes it for the only one. A version that has vanished counts
 // for Retention, as streams that it began may still be resumed.
@@ -17,7 +23,7 @@
 //
 //	r := origin.New()
 //	r.Observe(targets.Software(), now)
-//	r.Begin(requestID, origin.Origin{Service: "llm", Software: "v2"}, now)
+//	receipt := r.Begin(requestID, origin.Origin{Service: "llm", Software: "v2"}, now)
 //	o, ok := r.Find(requestID)
 package origin
 
@@ -30,6 +36,9 @@
 	// Retention is how long a stream may be resumed after it began, and how long a
 	// version counts after its last target has left. It exceeds the deadlines of callers.
 	Retention = time.Minute
+	// witnessTime is how long a host must have known one version only when the second one
+	// appears, to be sure that it has received the records of all streams at that one.
+	witnessTime = 3 * time.Second
 	// maxStreams bounds the remembered streams; the oldest are forgotten first.
 	maxStreams = 1 << 17
 	// maxOwn bounds the streams begun at this host that are sent when a second version
--- a/internal/origin/key.go
+++ b/internal/origin/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strconv"
 
 	"github.com/zeebo/blake3"
@@ -34,3 +35,14 @@
 // Sightings are the software versions of services that have more than one, by service and
 // version, each with the time since one of its targets was last listed, in milliseconds.
 type Sightings map[string]map[string]int64
+
+// Versions are the software versions of a service that may have begun a stream that is
+// resumed now, as they are stored.
+type Versions struct {
+	// Base is the version at which a stream without a record began; empty if unknown.
+	Base  string   `json:"base,omitempty"`
+	Names []string `json:"versions"`
+}
+
+// Equal reports whether two values are the same.
+func (v Versions) Equal(o Versions) bool { return v.Base == o.Base && slices.Equal(v.Names, o.Names) }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -19,7 +19,7 @@
 	g := NewWithT(t)
 	r := New()
 	r.Observe(listed("v1"), time.Second)
-	g.Expect(r.Begin("early", Origin{service, "v1"}, 2*time.Second)).To(BeFalse())
+	g.Expect(r.Begin("early", Origin{service, "v1"}, 2*time.Second)).To(Equal(Receipt{}))
 	g.Expect(r.TakeOutgoing(toAll)).To(BeEmpty())
 	r.Observe(listed("v1", "v2"), 3*time.Second)
 	g.Expect(r.TakeOutgoing(toAll)).To(HaveKeyWithValue("all", []Begun{{Origin{service, "v1"}, []Key{NewKey("early")}}}))
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,6 +14,22 @@
 	settledAt, listedAt time.Duration
 }
 
+// serviceState holds the software versions of a service that may have begun a stream that is
+// resumed now.
+type serviceState struct {
+	versions map[string]*version
+	// base is the version at which a stream without a record began; empty if unknown.
+	base string
+	// mixed is set while there is more than one version.
+	mixed bool
+	// singleSince is the time since which there has been one version, mixedSince that since
+	// which there have been more.
+	singleSince, mixedSince time.Duration
+	// witness is set if this host has received the records of all streams that began at
+	// other versions than the base.
+	witness bool
+}
+
 // ownStream is a stream that began at this host.
 type ownStream struct {
 	key    Key
@@ -19,27 +37,37 @@
 	at     time.Duration
 }
 
+// Receipt says what has to follow the record of a stream before its caller gets events.
+type Receipt struct {
+	// Share is set if the record has to be sent to other hosts.
+	Share bool
+	// Store is set if the record has to be stored first: without it the stream would be
+	// taken for one that began at the base. Sequence is its position among the records.
+	Store    bool
+	Sequence uint64
+}
+
 // Registry holds the software versions of services and the streams that they began. It is
 // safe for concurrent use.
 type Registry struct {
 	mu       sync.Mutex
-	services map[string]map[string]*version
+	services map[string]*serviceState
 	// current and previous hold the streams of the current and of the previous period of
 	// Retention.
 	current, previous map[Key]Origin
 	rotateAt          time.Duration
 	// own holds the streams that began at this host within Retention, oldest first.
 	own []ownStream
-	// outgoing holds the streams that have not been sent to other hosts.
-	outgoing []ownStream
-	// shared are the services whose streams are sent to other hosts.
-	shared map[string]bool
+	// outgoing holds the streams that have not been sent to other hosts, unstored those
+	// that have not been taken to be stored. sequence is that of the last record in unstored.
+	outgoing, unstored []ownStream
+	sequence           uint64
 }
 
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{
-		services: map[string]map[string]*version{}, current: map[Key]Origin{}, previous: map[Key]Origin{}, shared: map[string]bool{},
+		services: map[string]*serviceState{}, current: map[Key]Origin{}, previous: map[Key]Origin{},
 	}
 }
 
@@ -48,14 +76,14 @@
 func (r *Registry) Observe(listed map[string][]string, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for service, versions := range listed {
-		_, known := r.services[service]
+	for name, versions := range listed {
+		_, known := r.services[name]
 		for _, software := range versions {
 			settledAt := now
 			if known {
 				settledAt += SettleTime
 			}
-			r.observe(service, software, settledAt, now)
+			r.observe(name, software, settledAt, now)
 		}
 	}
 	r.update(now)
@@ -65,27 +93,47 @@
 func (r *Registry) ObserveRemote(seen Sightings, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for service, versions := range seen {
+	for name, versions := range seen {
 		for software, ageMs := range versions {
 			listedAt := now - time.Duration(ageMs)*time.Millisecond
 			if now-listedAt < Retention {
-				r.observe(service, software, now+SettleTime, listedAt)
+				r.observe(name, software, now+SettleTime, listedAt)
 			}
 		}
 	}
 	r.update(now)
 }
 
-func (r *Registry) observe(service, software string, settledAt, listedAt time.Duration) {
-	versions, ok := r.services[service]
+// ObserveStored records the versions that were stored for a service. They count as listed
+// now, as nothing says when they were. A host that learns of a version in this way may have
+// missed the records of its streams.
+func (r *Registry) ObserveStored(name string, stored Versions, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	for _, software := range stored.Names {
+		if s == nil || s.versions[software] == nil {
+			r.observe(name, software, now, now)
+			s = r.services[name]
+			s.witness, s.singleSince, s.mixedSince = false, now, now
+		}
+	}
+	r.update(now)
+	if s != nil && s.mixed && s.versions[stored.Base] != nil {
+		s.base = stored.Base
+	}
+}
+
+func (r *Registry) observe(name, software string, settledAt, listedAt time.Duration) {
+	s, ok := r.services[name]
 	if !ok {
-		versions = map[string]*version{}
-		r.services[service] = versions
+		s = &serviceState{versions: map[string]*version{}, singleSince: listedAt, mixedSince: listedAt}
+		r.services[name] = s
 	}
-	v, ok := versions[software]
+	v, ok := s.versions[software]
 	if !ok {
 		v = &version{settledAt: settledAt}
-		versions[software] = v
+		s.versions[software] = v
 	}
 	v.listedAt = max(v.listedAt, listedAt)
 }
@@ -93,51 +141,132 @@
 // update forgets versions that have vanished, and starts or stops sharing the streams of
 // services. The streams that began here before a second version appeared are sent then.
 func (r *Registry) update(now time.Duration) {
-	for service, versions := range r.services {
-		for software, v := range versions {
-			if now-v.listedAt >= Retention && len(versions) > 1 {
-				delete(versions, software)
+	for name, s := range r.services {
+		for software, v := range s.versions {
+			if now-v.listedAt >= Retention && len(s.versions) > 1 {
+				delete(s.versions, software)
 			}
 		}
-		mixed := len(versions) > 1
-		if mixed && !r.shared[service] {
-			r.shareEarlier(service, now)
+		wasMixed := s.mixed
+		s.update(now)
+		if s.mixed && !wasMixed {
+			r.shareEarlier(name, now)
+		}
+	}
+}
+
+// update derives the base of a service, and whether this host has the records of all streams
+// that began at other versions, from its versions.
+func (s *serviceState) update(now time.Duration) {
+	wasMixed := s.mixed
+	s.mixed = len(s.versions) > 1
+	switch {
+	case !s.mixed:
+		if wasMixed {
+			s.singleSince = now
+		}
+		for software := range s.versions {
+			s.base = software
 		}
-		r.shared[service] = mixed
+	case !wasMixed:
+		s.mixedSince = now
+		s.witness = now-s.singleSince >= witnessTime
+		if s.singleSince == now {
+			s.base = "" // all versions were found at once, unless a stored base follows
+		}
+	case now-s.mixedSince >= Retention:
+		s.witness = true
+	}
+	if s.versions[s.base] == nil {
+		s.base = ""
 	}
 }
 
-func (r *Registry) shareEarlier(service string, now time.Duration) {
+func (r *Registry) shareEarlier(name string, now time.Duration) {
 	for _, s := range r.own {
-		if s.origin.Service == service && now-s.at < Retention {
-			r.outgoing = append(r.outgoing, s)
+		if s.origin.Service == name && now-s.at < Retention {
+			r.share(s)
 		}
 	}
 }
 
+// share marks a stream to be sent to other hosts and to be stored.
+func (r *Registry) share(s ownStream) {
+	r.outgoing = append(r.outgoing, s)
+	r.unstored = append(r.unstored, s)
+	r.sequence++
+}
+
 // Only returns the software version of a service if no other one may have begun the streams
 // that are resumed now; false if there is another, or none is known.
-func (r *Registry) Only(service string) (string, bool) {
+func (r *Registry) Only(name string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	if s == nil || s.mixed {
+		return "", false
+	}
+	return s.base, s.base != ""
+}
+
+// Base returns the version at which the streams of a service began of which no record was
+// kept; false if it is unknown.
+func (r *Registry) Base(name string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.services[service]) == 1 {
-		for software := range r.services[service] {
-			return software, true
+	s := r.services[name]
+	return s.baseOrEmpty(), s.baseOrEmpty() != ""
+}
+
+func (s *serviceState) baseOrEmpty() string {
+	if s == nil {
+		return ""
+	}
+	return s.base
+}
+
+// IsWitness reports whether this host has received the records of all streams of a service
+// that began at other versions than the base, if it was to receive them.
+func (r *Registry) IsWitness(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	return s != nil && s.mixed && s.witness
+}
+
+// Mixed reports whether a service has more than one version.
+func (r *Registry) Mixed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		if s.mixed {
+			return true
 		}
 	}
-	return "", false
+	return false
+}
+
+// Versions returns the versions of each service, to be stored.
+func (r *Registry) Versions() map[string]Versions {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]Versions, len(r.services))
+	for name, s := range r.services {
+		out[name] = Versions{Base: s.base, Names: slices.Sorted(maps.Keys(s.versions))}
+	}
+	return out
 }
 
 // Settled reports whether a version of a service may get new streams: it has been known for
 // SettleTime, or nothing is known of the service yet.
-func (r *Registry) Settled(service, software string, now time.Duration) bool {
+func (r *Registry) Settled(name, software string, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	versions, known := r.services[service]
+	s, known := r.services[name]
 	if !known {
 		return true
 	}
-	v, ok := versions[software]
+	v, ok := s.versions[software]
 	return ok && now >= v.settledAt
 }
 
@@ -146,24 +275,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out Sightings
-	for service, versions := range r.services {
-		if !r.shared[service] {
+	for name, s := range r.services {
+		if !s.mixed {
 			continue
 		}
 		if out == nil {
 			out = Sightings{}
 		}
-		out[service] = make(map[string]int64, len(versions))
-		for software, v := range versions {
-			out[service][software] = max(now-v.listedAt, 0).Milliseconds()
+		out[name] = make(map[string]int64, len(s.versions))
+		for software, v := range s.versions {
+			out[name][software] = max(now-v.listedAt, 0).Milliseconds()
 		}
 	}
 	return out
 }
 
 // Begin records that a request brings the first event of a stream, or goes on with one of
-// that origin. It reports whether the stream has to be sent to other hosts.
-func (r *Registry) Begin(request string, o Origin, now time.Duration) bool {
+// that origin.
+func (r *Registry) Begin(request string, o Origin, now time.Duration) Receipt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := ownStream{key: NewKey(request), origin: o, at: now}
@@ -172,10 +301,12 @@
 		r.own = r.own[1:]
 	}
 	r.own = append(r.own, s)
-	if r.shared[o.Service] {
-		r.outgoing = append(r.outgoing, s)
+	known := r.services[o.Service]
+	if known == nil || !known.mixed {
+		return Receipt{}
 	}
-	return r.shared[o.Service]
+	r.share(s)
+	return Receipt{Share: true, Store: known.base != o.Software, Sequence: r.sequence}
 }
 
 // remember keeps the origin of a stream for one to two periods of Retention.
@@ -219,20 +350,40 @@
 	if len(outgoing) == 0 {
 		return nil
 	}
-	keys := map[string]map[Origin][]Key{}
+	byHost := map[string][]ownStream{}
 	for _, s := range outgoing {
 		for _, host := range owners(s.key) {
-			if keys[host] == nil {
-				keys[host] = map[Origin][]Key{}
-			}
-			keys[host][s.origin] = append(keys[host][s.origin], s.key)
+			byHost[host] = append(byHost[host], s)
 		}
 	}
-	out := make(map[string][]Begun, len(keys))
-	for host, byOrigin := range keys {
-		for o, list := range byOrigin {
-			out[host] = append(out[host], Begun{Origin: o, Keys: list})
+	out := make(map[string][]Begun, len(byHost))
+	for host, streams := range byHost {
+		out[host] = group(streams)
+	}
+	return out
+}
+
+// TakeUnstored returns the streams that have to be stored and the sequence number of the
+// last one, and forgets that they have to be.
+func (r *Registry) TakeUnstored() ([]Begun, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := group(r.unstored)
+	r.unstored = nil
+	return out, r.sequence
+}
+
+// group returns streams by their origin.
+func group(streams []ownStream) []Begun {
+	var out []Begun
+	index := map[Origin]int{}
+	for _, s := range streams {
+		i, ok := index[s.origin]
+		if !ok {
+			i = len(out)
+			index[s.origin], out = i, append(out, Begun{Origin: s.origin})
 		}
+		out[i].Keys = append(out[i].Keys, s.key)
 	}
 	return out
 }
--- a/internal/server/leased_task.go
+++ b/internal/server/leased_task.go
@@ -122,6 +122,7 @@
 	t.Add("progress", feed.NewWatch(l.host.tables, taskTable, l, feed.WithInterval(l.progressInterval)).Run)
 	t.Add("free", l.freeReplaced)
 	t.Add("versions", l.host.versionRow.Run)
+	l.host.origins.addComponents(t)
 }
 
 // progressInterval returns the time between two reads of the progress. Among many
@@ -220,24 +221,29 @@
 	return errors.Trace(l.table.Put(ctx, progressKey, b))
 }
 
-// Listed reads the progress of the lease holder and the dates of weight versions.
+// Listed reads the progress of the lease holder, the dates of weight versions and the
+// software versions of services.
 func (l *leasedTask) Listed(rows []feed.Row) {
 	l.host.versionRow.listed(rows)
+	l.host.origins.versions.listed(rows)
 	l.Changed(rows)
 }
 
-// Changed reads the progress of the lease holder and the dates of weight versions.
+// Changed reads the progress of the lease holder, the dates of weight versions and the
+// software versions of services.
 func (l *leasedTask) Changed(rows []feed.Row) {
 	applyEach(l.host.log, "progress", rows, l.applyRow)
 }
 
-// applyRow reads the progress of the lease holder, or the dates of weight versions, from
-// a row of the table.
+// applyRow applies a row of the table.
 func (l *leasedTask) applyRow(r feed.Row) {
 	switch {
 	case r.Key == versionsKey:
 		l.host.versionRow.apply(r)
 		return
+	case r.Key == softwareKey:
+		l.host.origins.versions.apply(r)
+		return
 	case r.Key != progressKey || r.Removed:
 		return
 	}
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -13,6 +13,7 @@
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/proxy"
 	"sesamehill.example/sesamehill/internal/safego"
+	"sesamehill.example/sesamehill/internal/tree"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -40,6 +41,7 @@
 type streamOrigins struct {
 	host     *Host
 	registry *origin.Registry
+	versions *softwareRow
 	// began receives a value after a stream has begun that other hosts have to know.
 	began chan struct{}
 	// startedAt is the boot time of the start of this host, messageAt that of the last
@@ -50,7 +52,13 @@
 }
 
 func newStreamOrigins(h *Host) *streamOrigins {
-	return &streamOrigins{host: h, registry: origin.New(), began: make(chan struct{}, 1), startedAt: wire.BootTime()}
+	r := origin.New()
+	return &streamOrigins{host: h, registry: r, versions: newSoftwareRow(h, r), began: make(chan struct{}, 1), startedAt: wire.BootTime()}
+}
+
+// addComponents adds the components that keep what has to outlive this host.
+func (s *streamOrigins) addComponents(t *tree.Tree) {
+	t.Add("software", s.versions.Run)
 }
 
 // originQuery is a query for the origin of a stream.
@@ -81,7 +89,7 @@
 // Begin records that a request brings the first events of a stream, or goes on with one.
 func (s *streamOrigins) Begin(request string, o origin.Origin) {
 	s.observe()
-	if s.registry.Begin(request, o, wire.BootTime()) {
+	if s.registry.Begin(request, o, wire.BootTime()).Share {
 		s.notify()
 	}
 }
@@ -138,8 +146,12 @@
 }
 
 // versionsComplete reports whether this host would have received a second software version
-// that any host uses. A host that has just started learns it from the messages of the others.
+// that any host uses or has used. A host that has just started learns it from the stored
+// versions and from the messages of the others.
 func (s *streamOrigins) versionsComplete() bool {
+	if !s.versions.wasReceived() {
+		return false
+	}
 	now := wire.BootTime()
 	message, list := time.Duration(s.messageAt.Load()), time.Duration(s.listAt.Load())
 	switch {
--- a/internal/server/versionrow.go
+++ b/internal/server/versionrow.go
@@ -25,8 +25,8 @@
 	storedVersionAge = time.Minute
 	// versionTolerance is how much older a date must be than the stored one to be written.
 	versionTolerance = 200 * time.Millisecond
-	// versionWriteDelay is the time after which a contender for the lease writes a date
-	// that the lease holder has not written, times its rank among the contenders.
+	// versionWriteDelay is the time after which a contender for the lease writes what the
+	// lease holder has not written, times its rank among the contenders.
 	versionWriteDelay = time.Second
 	// versionRetryInterval is the time between two attempts to write a date.
 	versionRetryInterval = time.Second
@@ -134,7 +134,7 @@
 		case <-time.After(versionCheckInterval):
 		}
 		for r.missing() != nil {
-			if pause.For(ctx, r.writeDelay()) != nil {
+			if pause.For(ctx, r.host.sharedRowDelay()) != nil {
 				return nil //nolint:nilerr // cancellation is the normal way to stop
 			}
 			if r.write(ctx) {
@@ -147,12 +147,13 @@
 	}
 }
 
-// writeDelay returns how long this host leaves the row to others.
-func (r *versionRow) writeDelay() time.Duration {
-	if r.host.leasedTask.holdsLease() {
+// sharedRowDelay returns how long this host leaves a row that the lease holder writes to
+// others.
+func (h *Host) sharedRowDelay() time.Duration {
+	if h.leasedTask.holdsLease() {
 		return 0
 	}
-	return time.Duration(1+r.host.members.contenderRank()) * versionWriteDelay
+	return time.Duration(1+h.members.contenderRank()) * versionWriteDelay
 }
 
 // missing returns the content that the row should have; nil if it has that, or if this
@@ -204,7 +205,7 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, versionWriteTimeout)
 	defer cancel()
-	version, err := r.writeRow(ctx, op)
+	version, err := writeVersion(ctx, r.table, op)
 	r.host.log.Info("dates of weight versions written", zap.Strings("models", slices.Sorted(maps.Keys(next))), zap.Error(err))
 	var conflict *table.ConflictError
 	switch {
@@ -219,12 +220,12 @@
 	return true
 }
 
-// writeRow writes the row and returns its version; zero if the table does not return it.
-func (r *versionRow) writeRow(ctx context.Context, op table.Op) (uint64, error) {
-	if t, ok := r.table.(table.Versioned); ok {
-		return t.WriteVersion(ctx, []table.Op{op})
+// writeVersion writes a row and returns its version; zero if the table does not return it.
+func writeVersion(ctx context.Context, t Table, op table.Op) (uint64, error) {
+	if v, ok := t.(table.Versioned); ok {
+		return v.WriteVersion(ctx, []table.Op{op})
 	}
-	return 0, r.table.Write(ctx, []table.Op{op})
+	return 0, t.Write(ctx, []table.Op{op})
 }
 
 // read reads the row and the dates in it.
