Let a stream without a record go on at the base version

All streams of two versions are refused after all hosts have ended at once.

Cause: a host sends its records when it sees a second version. Without it a missing record meant "any version", although one alone can have begun the stream.

Change: the version before the others is the base. Streams at others have a stored record before their first event is passed on, so that the absence of a record means the base, by hosts that were there or by the stored records. The log says what showed the origin of a stream.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -16,9 +16,9 @@
 // Origins records which software version began each stream. A stream may go on only at that
 // version.
 type Origins interface {
-	// Begin records that a request brings the first events of a stream, or goes on with
-	// one of that origin.
-	Begin(request string, o origin.Origin)
+	// Begin records that requests bring the first events of a stream, or go on with one
+	// of that origin. It returns when the caller may get the events.
+	Begin(ctx context.Context, o origin.Origin, requests ...string)
 	// Find looks for the origin of a stream of a service, which a request began.
 	Find(ctx context.Context, service, request string) OriginResult
 	// Settled reports whether a version of a service may get new streams.
@@ -30,7 +30,11 @@
 type OriginResult interface{ originResult() }
 
 // OriginFound carries the origin of a stream, which is known or the only one possible.
-type OriginFound struct{ origin.Origin }
+type OriginFound struct {
+	origin.Origin
+	// Evidence says what shows the origin, for the log.
+	Evidence string
+}
 
 // OriginUnknown says that the service has more than one software version and that no host
 // has a record of the one that began the stream.
@@ -73,7 +77,7 @@
 	p.Metrics.Count("resumed")
 	j.log.Info(
 		"stream resumed by its caller", zap.String("resumes", j.Resumes), zap.String("lastevent", j.LastEventID), zap.String("service", j.service.Name),
-		zap.Bool("known", known), zap.String("software", found.Software),
+		zap.Bool("known", known), zap.String("software", found.Software), zap.String("evidence", found.Evidence),
 		zap.Int64("took", (wire.BootTime()-started).Milliseconds()),
 	)
 	return known
@@ -95,17 +99,18 @@
 
 // recordBegin binds a stream to the target that sends its first events, and records its
 // origin before the caller gets them.
-func (p *Proxy) recordBegin(j *job, c reservation) {
+func (p *Proxy) recordBegin(ctx context.Context, j *job, c reservation) {
 	if j.begun {
 		return
 	}
 	j.begun = true
 	j.binding = binding{software: c.Software, bound: true}
 	o := origin.Origin{Service: j.service.Name, Software: c.Software}
-	p.origins.Begin(j.ID, o)
+	requests := []string{j.ID}
 	if j.Resumes != "" {
-		p.origins.Begin(j.Resumes, o)
+		requests = append(requests, j.Resumes)
 	}
+	p.origins.Begin(ctx, o, requests...)
 }
 
 // preferSettled returns the targets whose software version may get new streams; all targets
@@ -154,8 +159,8 @@
 // noOrigins is an Origins for services with one software version.
 type noOrigins struct{}
 
-func (noOrigins) Begin(string, origin.Origin) {}
+func (noOrigins) Begin(context.Context, origin.Origin, ...string) {}
 func (noOrigins) Find(_ context.Context, service, _ string) OriginResult {
-	return OriginFound{origin.Origin{Service: service}}
+	return OriginFound{Origin: origin.Origin{Service: service}}
 }
 func (noOrigins) Settled(string, string) bool { return true }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -56,7 +56,7 @@
 				p.crashes.Answered(c.id, time.Now())
 			}
 			events, rejected := j.order.filter(buffered[:end+len(eventDelimiter)])
-			if !p.forwardEvents(j, c, r, events) {
+			if !p.forwardEvents(ctx, j, c, r, events) {
 				return aborted{cause: context.Canceled}, fleet.ClientDisconnected
 			}
 			if rejected != "" {
@@ -107,11 +107,11 @@
 
 // forwardEvents writes events to the caller. It returns false if the client
 // disconnected.
-func (p *Proxy) forwardEvents(j *job, c reservation, r Reply, events []byte) bool {
+func (p *Proxy) forwardEvents(ctx context.Context, j *job, c reservation, r Reply, events []byte) bool {
 	if len(events) == 0 {
 		return true
 	}
-	p.recordBegin(j, c)
+	p.recordBegin(ctx, j, c)
 	if !j.headerSent {
 		p.sendHeader(j, r)
 	}
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -82,6 +82,9 @@
 	// Capacity is the host's share of a CPU core times the rate of its link in
 	// megabits per second.
 	Capacity float64 `json:"width,omitempty"`
+	// StoresStreams is set by builds that store the streams of services with several
+	// software versions before their callers get events of them.
+	StoresStreams bool `json:"streams,omitempty"`
 }
 
 // Bounds of the fields of a row, which another writer may have left in the table.
@@ -214,7 +217,7 @@
 	own := m.host.settings
 	row := memberRow{
 		Host: own.Name, Zone: own.Zone, Peer: own.Peer, StartedAtMs: m.startedAtMs, Writes: m.writes, Capacity: own.relayCapacity(),
-		LifeMillis: (missedWrites * interval).Milliseconds(),
+		LifeMillis: (missedWrites * interval).Milliseconds(), StoresStreams: true,
 	}
 	b, err := json.Marshal(row)
 	if err != nil {
@@ -424,6 +427,19 @@
 	return m.readAt != 0
 }
 
+// allStoreStreams reports whether the rows were read and all hosts that may be alive are of
+// builds that store streams.
+func (m *members) allStoreStreams() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, row := range m.rows {
+		if !row.StoresStreams && !m.expired(row) {
+			return false
+		}
+	}
+	return m.readAt != 0
+}
+
 // share returns the position of this host among those that share the limits of targets.
 // Before the hosts are known it is one of the assumed number.
 func (m *members) share() rates.Share {
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -27,6 +27,8 @@
 	originObserveInterval = 50 * time.Millisecond
 	// originOwners is the number of hosts that remember a stream, where hosts are many.
 	originOwners = 3
+	// minWitnesses is the number of owners without a record that show that none was kept.
+	minWitnesses = 2
 	// originQueryTimeout bounds a query for the origin of a stream, which is repeated once
 	// after originRetryDelay, as the record of the stream may be on its way.
 	originQueryTimeout = 300 * time.Millisecond
@@ -42,6 +44,7 @@
 	host     *Host
 	registry *origin.Registry
 	versions *softwareRow
+	store    *streamStore
 	// began receives a value after a stream has begun that other hosts have to know.
 	began chan struct{}
 	// startedAt is the boot time of the start of this host, messageAt that of the last
@@ -53,23 +56,33 @@
 
 func newStreamOrigins(h *Host) *streamOrigins {
 	r := origin.New()
-	return &streamOrigins{host: h, registry: r, versions: newSoftwareRow(h, r), began: make(chan struct{}, 1), startedAt: wire.BootTime()}
+	return &streamOrigins{
+		host: h, registry: r, versions: newSoftwareRow(h, r), store: newStreamStore(h, r), began: make(chan struct{}, 1), startedAt: wire.BootTime(),
+	}
 }
 
 // addComponents adds the components that keep what has to outlive this host.
 func (s *streamOrigins) addComponents(t *tree.Tree) {
 	t.Add("software", s.versions.Run)
+	t.Add("streams", s.store.Run)
+	t.Add("stale streams", s.store.RemoveStale)
 }
 
 // originQuery is a query for the origin of a stream.
 type originQuery struct {
 	Key origin.Key `cbor:"1,keyasint"`
+	// Service is the service of the stream; empty from hosts of an older build.
+	Service string `cbor:"2,keyasint,omitempty"`
 }
 
 // originReply holds the origin of a stream if the host has a record of it.
 type originReply struct {
 	Known  bool          `cbor:"1,keyasint,omitempty"`
 	Origin origin.Origin `cbor:"2,keyasint"`
+	// Witness is set if the host has received the records of all streams of the service that
+	// it was to receive. Answered tells a reply from a failed query.
+	Witness  bool `cbor:"3,keyasint,omitempty"`
+	Answered bool `cbor:"-"`
 }
 
 // observe records the software versions that the list of targets shows.
@@ -86,11 +99,20 @@
 	s.listAt.Store(int64(s.host.tables.CurrentAt(s.host.platform.TargetTable(), p)))
 }
 
-// Begin records that a request brings the first events of a stream, or goes on with one.
-func (s *streamOrigins) Begin(request string, o origin.Origin) {
+// Begin records that requests bring the first events of a stream, or go on with one. It
+// returns when the record is stored, if the stream would be unknown without it.
+func (s *streamOrigins) Begin(ctx context.Context, o origin.Origin, requests ...string) {
 	s.observe()
-	if s.registry.Begin(request, o, wire.BootTime()).Share {
+	var last origin.Receipt
+	for _, r := range requests {
+		last = s.registry.Begin(r, o, wire.BootTime())
+	}
+	if last.Share {
 		s.notify()
+		s.store.notify()
+	}
+	if last.Store {
+		s.store.await(ctx, last.Sequence)
 	}
 }
 
@@ -107,42 +129,61 @@
 	return s.registry.Settled(service, software, wire.BootTime())
 }
 
-// Find looks for the origin of a stream here and then at its owners. Its record, or a message
-// that shows that there is only one version, may come while these are queried.
+// Find looks for the origin of a stream here, at its owners and among the stored streams. Its
+// record, or a message that shows that there is only one version, may come while these are
+// queried. A stream of which no record was kept began at the base.
 func (s *streamOrigins) Find(ctx context.Context, service, request string) proxy.OriginResult {
-	if o, ok := s.findHere(service, request); ok {
-		return proxy.OriginFound{Origin: o}
+	if o, evidence := s.findHere(service, request); evidence != "" {
+		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
 	if request == "" {
 		return proxy.OriginUnknown{}
 	}
-	key := origin.NewKey(request)
+	key, absent := origin.NewKey(request), false
 	for range 2 {
-		if o, ok := s.queryOwners(ctx, key); ok {
-			s.registry.Import([]origin.Begun{{Origin: o, Keys: []origin.Key{key}}}, wire.BootTime())
-			return proxy.OriginFound{Origin: o}
+		var o origin.Origin
+		if o, absent = s.queryOwners(ctx, service, key); o.Service != "" {
+			return s.found(o, key, "record of another host")
 		}
 		if pause.For(ctx, originRetryDelay) != nil {
 			break
 		}
 	}
-	if o, ok := s.findHere(service, request); ok {
-		return proxy.OriginFound{Origin: o}
+	if o, evidence := s.findHere(service, request); evidence != "" {
+		return proxy.OriginFound{Origin: o, Evidence: evidence}
+	}
+	if !absent && s.store.read(ctx) {
+		if o, ok := s.registry.Find(key); ok {
+			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
+		}
+		absent = s.store.complete()
+	}
+	if base, ok := s.registry.Base(service); ok && absent && s.versions.wasReceived() {
+		return s.found(origin.Origin{Service: service, Software: base}, key, "no record, so the base")
 	}
 	return proxy.OriginUnknown{}
 }
 
+// found records the origin of a stream that this host had no record of.
+func (s *streamOrigins) found(o origin.Origin, key origin.Key, evidence string) proxy.OriginResult {
+	s.registry.Import([]origin.Begun{{Origin: o, Keys: []origin.Key{key}}}, wire.BootTime())
+	return proxy.OriginFound{Origin: o, Evidence: evidence}
+}
+
 // findHere returns the origin of a stream that this host has a record of, or that only one
-// software version can have begun.
-func (s *streamOrigins) findHere(service, request string) (origin.Origin, bool) {
+// software version can have begun, and what shows it; empty if nothing does.
+func (s *streamOrigins) findHere(service, request string) (origin.Origin, string) {
 	s.observe()
 	if request != "" {
 		if o, ok := s.registry.Find(origin.NewKey(request)); ok {
-			return o, true
+			return o, "record"
 		}
 	}
 	only, ok := s.registry.Only(service)
-	return origin.Origin{Service: service, Software: only}, ok && s.versionsComplete()
+	if !ok || !s.versionsComplete() {
+		return origin.Origin{}, ""
+	}
+	return origin.Origin{Service: service, Software: only}, "only version"
 }
 
 // versionsComplete reports whether this host would have received a second software version
@@ -164,8 +205,9 @@
 }
 
 // queryOwners queries the owners of a stream for its origin and returns the first answer that
-// has it.
-func (s *streamOrigins) queryOwners(ctx context.Context, key origin.Key) (origin.Origin, bool) {
+// has it; an origin without a service if none has. It also reports whether enough hosts have
+// answered that would have a record if one was kept.
+func (s *streamOrigins) queryOwners(ctx context.Context, service string, key origin.Key) (origin.Origin, bool) {
 	owners := s.host.members.ownersOf(key)
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 	defer cancel()
@@ -173,24 +215,50 @@
 	for _, owner := range owners {
 		go safego.Do(s.host.log, "origin query", func() {
 			var reply originReply
-			if err := s.host.peerClient.call(ctx, owner, originPath, originQuery{Key: key}, &reply); err != nil && ctx.Err() == nil {
+			err := s.host.peerClient.call(ctx, owner, originPath, originQuery{Key: key, Service: service}, &reply)
+			if err != nil && ctx.Err() == nil {
 				s.host.log.Debug("origin of a stream not received", zap.String("peer", owner), zap.Error(err))
-				reply = originReply{}
 			}
+			reply.Answered = err == nil
 			replies <- reply
 		})
 	}
+	var answers []originReply
 	for range owners {
 		select {
 		case r := <-replies:
-			if r.Known {
+			if r.Answered && r.Known {
 				return r.Origin, true
 			}
+			answers = append(answers, r)
 		case <-ctx.Done():
-			return origin.Origin{}, false
+			return origin.Origin{}, s.absentFrom(service, answers)
+		}
+	}
+	return origin.Origin{}, s.absentFrom(service, answers)
+}
+
+// absentFrom reports whether answers without a record show that none was kept. Where hosts
+// are few, each receives all records, and one witness is enough; a host that gets no answer
+// may be cut off from the others. Elsewhere two of the owners have to be witnesses.
+func (s *streamOrigins) absentFrom(service string, answers []originReply) bool {
+	witnesses, answered := 0, 0
+	for _, r := range answers {
+		if r.Answered {
+			answered++
+		}
+		if r.Answered && r.Witness {
+			witnesses++
 		}
 	}
-	return origin.Origin{}, false
+	others := len(s.host.members.others())
+	if others >= maxDirectHosts {
+		return witnesses >= minWitnesses
+	}
+	if s.registry.IsWitness(service) {
+		witnesses++
+	}
+	return witnesses > 0 && (answered > 0 || others == 0)
 }
 
 // serveOrigin answers queries for the origin of a stream.
@@ -198,7 +266,7 @@
 	var q originQuery
 	if readQuery(w, r, &q) {
 		o, ok := h.origins.registry.Find(q.Key)
-		writeReply(w, originReply{Known: ok, Origin: o})
+		writeReply(w, originReply{Known: ok, Origin: o, Witness: h.origins.registry.IsWitness(q.Service)})
 	}
 }
 
--- /dev/null
+++ b/internal/server/streamrows.go
@@ -0,0 +1,304 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"sesamehill.example/sesamehill/internal/origin"
+	"sesamehill.example/sesamehill/internal/pause"
+	"sesamehill.example/sesamehill/internal/table"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const (
+	// streamTable holds the streams that began while a service had several software
+	// versions. Each host writes rows of its own.
+	streamTable = "sesame_streams"
+	// streamWriteSpacing is the mean time between the writes of two hosts: 200 writes a
+	// second are half of the platform's rate.
+	streamWriteSpacing = 5 * time.Millisecond
+	// maxStoreWait is how long the first event of a stream waits for its record. Where hosts
+	// are so many that they write less often, no stream waits, and a missing record says
+	// nothing.
+	maxStoreWait = 300 * time.Millisecond
+	// storeFailureMemory is how long after a failed write no stream waits for its record.
+	storeFailureMemory = time.Second
+	// streamRowTime is the time whose streams one row holds, streamRows the number of rows
+	// of a host, which it writes in turn. Together they exceed the time for which a
+	// stream may be resumed.
+	streamRowTime = 5 * time.Second
+	streamRows    = 14
+	// maxStreamRowKeys keeps a row below the platform's limit.
+	maxStreamRowKeys  = 6000
+	streamCallTimeout = 700 * time.Millisecond
+	streamPageRows    = 500
+	// streamCheckInterval is the time after which rows are written again if the platform was
+	// restored; staleRowsInterval is the time between two looks for rows of hosts that have
+	// gone.
+	streamCheckInterval = 500 * time.Millisecond
+	staleRowsInterval   = 30 * time.Second
+)
+
+// streamRow is a row with the streams of a period.
+type streamRow struct {
+	startedAt time.Duration
+	begun     []origin.Begun
+	keys      int
+	// written is set if the platform has the row as it is.
+	written bool
+}
+
+// streamStore stores the streams that began at this host, and reads those of all hosts.
+// They outlive the hosts.
+type streamStore struct {
+	host     *Host
+	table    Table
+	registry *origin.Registry
+	// began receives a value after a stream has begun that has to be stored.
+	began chan struct{}
+
+	// rows, next and era are used by Run only.
+	rows [streamRows]streamRow
+	next int
+	era  uint64
+
+	mu sync.Mutex
+	// stored is the sequence number up to which all streams are stored. changed is closed
+	// when it rises.
+	stored   uint64
+	changed  chan struct{}
+	failedAt time.Duration
+
+	// reading is held by the caller that reads the rows, and guards readAt, the boot time at
+	// which the last successful read started.
+	reading chan struct{}
+	readAt  time.Duration
+}
+
+func newStreamStore(h *Host, r *origin.Registry) *streamStore {
+	return &streamStore{
+		host: h, table: h.platform.Table(streamTable), registry: r, began: make(chan struct{}, 1),
+		changed: make(chan struct{}), reading: make(chan struct{}, 1),
+	}
+}
+
+func (s *streamStore) notify() {
+	select {
+	case s.began <- struct{}{}:
+	default:
+	}
+}
+
+// interval returns the time between two writes of this host.
+func (s *streamStore) interval() time.Duration {
+	return time.Duration(s.host.hostCount()) * streamWriteSpacing
+}
+
+// complete reports whether each stream that began elsewhere than at the base of its service
+// was stored before its caller got events of it. Hosts of builds that store none do not.
+func (s *streamStore) complete() bool {
+	return s.interval() <= maxStoreWait && s.host.members.allStoreStreams()
+}
+
+// Run writes the rows until ctx is cancelled.
+func (s *streamStore) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.began:
+		case <-time.After(streamCheckInterval):
+		}
+		s.noticeRestore()
+		begun, sequence := s.registry.TakeUnstored()
+		s.add(begun)
+		if s.writeRows(ctx) {
+			s.recordStored(sequence)
+		}
+		if pause.For(ctx, s.interval()) != nil {
+			return nil //nolint:nilerr // cancellation is the normal way to stop
+		}
+	}
+}
+
+// noticeRestore makes all rows be written again after a restore of the platform.
+func (s *streamStore) noticeRestore() {
+	era := s.host.platformEra()
+	if era == s.era {
+		return
+	}
+	s.era = era
+	for i := range s.rows {
+		s.rows[i].written = false
+	}
+}
+
+// add adds streams to the current row, or to the next one.
+func (s *streamStore) add(begun []origin.Begun) {
+	now := wire.BootTime()
+	for _, b := range begun {
+		for len(b.Keys) > 0 {
+			row := &s.rows[s.next]
+			if row.keys >= maxStreamRowKeys || row.keys > 0 && now-row.startedAt >= streamRowTime {
+				s.next = (s.next + 1) % streamRows
+				row = &s.rows[s.next]
+				*row = streamRow{}
+			}
+			if row.keys == 0 {
+				row.startedAt = now
+			}
+			n := min(len(b.Keys), maxStreamRowKeys-row.keys)
+			row.begun = append(row.begun, origin.Begun{Origin: b.Origin, Keys: b.Keys[:n]})
+			row.keys, row.written = row.keys+n, false
+			b.Keys = b.Keys[n:]
+		}
+	}
+}
+
+// writeRows writes the rows that the platform does not have and reports whether it has all of
+// them then.
+func (s *streamStore) writeRows(ctx context.Context) bool {
+	for i := range s.rows {
+		row := &s.rows[i]
+		if row.written || row.keys == 0 {
+			continue
+		}
+		value, err := cbor.Marshal(row.begun)
+		if err == nil {
+			err = s.put(ctx, i, value)
+		}
+		if err != nil {
+			s.host.log.Warn("streams that began could not be stored", zap.Int("streams", row.keys), zap.Error(err))
+			s.mu.Lock()
+			s.failedAt = wire.BootTime()
+			s.mu.Unlock()
+			return false
+		}
+		row.written = true
+	}
+	return true
+}
+
+func (s *streamStore) put(ctx context.Context, index int, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	defer cancel()
+	key := fmt.Sprintf("%s/%d/%d", s.host.settings.Name, s.host.members.startedAtMs, index)
+	return s.table.Put(ctx, key, value)
+}
+
+func (s *streamStore) recordStored(sequence uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sequence > s.stored {
+		s.stored = sequence
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// await waits until a stream is stored. It gives up after maxStoreWait, and at once if the
+// platform has just failed to store streams.
+func (s *streamStore) await(ctx context.Context, sequence uint64) {
+	if s.interval() > maxStoreWait {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxStoreWait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		done := s.stored >= sequence || s.failedAt != 0 && wire.BootTime()-s.failedAt < storeFailureMemory
+		changed := s.changed
+		s.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// read reads the streams that all hosts had stored before the call. It reports whether it
+// could.
+func (s *streamStore) read(ctx context.Context) bool {
+	calledAt := wire.BootTime()
+	select {
+	case s.reading <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-s.reading }()
+	if s.readAt > calledAt {
+		return true
+	}
+	startedAt := wire.BootTime()
+	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	defer cancel()
+	rows, err := s.scan(ctx)
+	if err != nil {
+		s.host.log.Warn("stored streams cannot be read", zap.Error(err))
+		return false
+	}
+	for _, row := range rows {
+		var begun []origin.Begun
+		if err := cbor.Unmarshal(row.Value, &begun); err != nil {
+			s.host.log.Warn("row of stored streams cannot be decoded; ignoring it", zap.String("key", shorten(row.Key)), zap.String("error", shorten(err.Error())))
+			continue
+		}
+		s.registry.Import(begun, startedAt)
+	}
+	s.readAt = startedAt
+	return true
+}
+
+// scan returns all rows of the table.
+func (s *streamStore) scan(ctx context.Context) ([]table.Row, error) {
+	var rows []table.Row
+	for after := ""; ; {
+		page, err := s.table.Scan(ctx, "", after, streamPageRows)
+		if err != nil || len(page) == 0 {
+			return rows, err
+		}
+		rows = append(rows, page...)
+		after = page[len(page)-1].Key
+	}
+}
+
+// RemoveStale removes the rows that have not changed for longer than a stream may be resumed,
+// until ctx is cancelled. Only the lease holder does.
+func (s *streamStore) RemoveStale(ctx context.Context) error {
+	type seen struct {
+		version uint64
+		at      time.Duration
+	}
+	known := map[string]seen{}
+	for pause.For(ctx, staleRowsInterval) == nil {
+		if !s.host.IssuesOrders() || len(known) == 0 && !s.registry.Mixed() {
+			continue
+		}
+		rows, err := s.scan(ctx)
+		if err != nil {
+			continue
+		}
+		now, previous := wire.BootTime(), known
+		known = make(map[string]seen, len(rows))
+		for _, row := range rows {
+			k, ok := previous[row.Key]
+			if !ok || k.version != row.Version {
+				k = seen{version: row.Version, at: now}
+			}
+			known[row.Key] = k
+			if now-k.at > origin.Retention {
+				_ = s.table.Write(ctx, []table.Op{{Key: row.Key, Version: row.Version, Delete: true}}) // tried again
+			}
+		}
+	}
+	return nil
+}
