Log why a part of prompts is quarantined and when it is not any more

Change: a line for each change of a host's verdict, with the ages of the crashes, the number required and the time since a target survived.

--- a/internal/crash/history.go
+++ b/internal/crash/history.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"encoding/hex"
 	"slices"
 	"time"
 
@@ -35,6 +36,9 @@
 // whose prompts have a part in common.
 type Fingerprint [16]byte
 
+// String returns the beginning of the fingerprint as a hexadecimal number.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:6]) }
+
 // NewFingerprint hashes account, model and prompt. It includes the account so that
 // no account can quarantine the requests of another.
 func NewFingerprint(account, model string, tokens []uint32) Fingerprint {
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -40,6 +40,22 @@
 	suspected   map[Fingerprint]bool
 }
 
+// PartVerdict is a change of the verdict on a part, with what it rests on.
+type PartVerdict struct {
+	Part        Fingerprint
+	Quarantined bool
+	// Counted are the crashes that count, and Required those that quarantine the part. Depth
+	// is its position in prompts.
+	Counted, Required, Depth int
+	// Ages are the times since all crashes that are recorded.
+	Ages []time.Duration
+	// Others is the number of other parts in quarantine, whose crashes count for them alone.
+	Others int
+	// SinceSurvived is the time since a target has answered a request with the part; zero
+	// if none is known to have.
+	SinceSurvived time.Duration
+}
+
 // evidence is the number of crashes that count for a part, and the time of the last one.
 type evidence struct {
 	crashes int
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -62,6 +62,10 @@
 // should receive at once. It must not block or call the tracker.
 func WithOnChange(f func()) Option { return func(t *Tracker) { t.onChanged = f } }
 
+// WithOnVerdict sets a function that is called when a part is quarantined, or is not any more.
+// It must not block or call the tracker.
+func WithOnVerdict(f func(PartVerdict)) Option { return func(t *Tracker) { t.onVerdict = f } }
+
 // WithLimit sets the maximum number of tracked fingerprints. The default is 1,024.
 func WithLimit(n int) Option { return func(t *Tracker) { t.limit = max(n, 1) } }
 
@@ -81,6 +85,7 @@
 	limit      int
 	spread     time.Duration
 	onChanged  func()
+	onVerdict  func(PartVerdict)
 	// nextExport rotates through the histories that Export returns in turn.
 	nextExport int
 
@@ -126,7 +131,7 @@
 func New(opts ...Option) *Tracker {
 	t := &Tracker{
 		histories: map[Fingerprint]History{}, inFlight: map[string]inFlightAttempt{}, ownChanges: map[Fingerprint]time.Time{},
-		limit: maxFingerprints, spread: defaultSpread, onChanged: func() {},
+		limit: maxFingerprints, spread: defaultSpread, onChanged: func() {}, onVerdict: func(PartVerdict) {},
 		parts: map[Fingerprint]History{}, trialDelay: rand.N(trialDelaySpread),
 	}
 	t.survived, _ = lru.New[Fingerprint, time.Time](maxSurvivedParts) // fails for sizes below 1 only
--- a/internal/crash/trackerparts.go
+++ b/internal/crash/trackerparts.go
@@ -126,7 +126,44 @@
 		return
 	}
 	t.changed, t.judgedAt = false, now
+	before := t.verdicts
 	t.verdicts = judge(t.parts, now)
+	for p := range t.verdicts.quarantined {
+		if _, known := before.quarantined[p]; !known {
+			t.onVerdict(t.partVerdict(p, now))
+		}
+	}
+	for p := range before.quarantined {
+		if _, still := t.verdicts.quarantined[p]; !still {
+			t.onVerdict(t.partVerdict(p, now))
+		}
+	}
+}
+
+// crashAges returns the time since each recorded crash, the oldest first.
+func (h History) crashAges(now time.Time) []time.Duration {
+	ages := make([]time.Duration, 0, len(h.Crashes))
+	for _, c := range h.Crashes {
+		ages = append(ages, now.Sub(c.At))
+	}
+	slices.Sort(ages)
+	slices.Reverse(ages)
+	return ages
+}
+
+// partVerdict returns what the verdict on a part rests on.
+func (t *Tracker) partVerdict(p Fingerprint, now time.Time) PartVerdict {
+	h := t.parts[p]
+	_, quarantined := t.verdicts.quarantined[p]
+	counted, _ := h.partCrashes(nil, now)
+	v := PartVerdict{Part: p, Quarantined: quarantined, Counted: counted, Ages: h.crashAges(now), Required: h.quarantineAt(), Depth: h.Depth, Others: len(t.verdicts.quarantined)}
+	if quarantined {
+		v.Others--
+	}
+	if !h.Survived.IsZero() {
+		v.SinceSurvived = now.Sub(h.Survived)
+	}
+	return v
 }
 
 // cancelQuarantined cancels the attempts with a quarantined part whose targets have not
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -144,7 +144,7 @@
 	h.paths = newPathFinder(h)
 	h.tunnels = tunnel.NewServer(h.paths.connect)
 	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithTunnels(h.paths.available))
-	h.crashes = crash.New()
+	h.crashes = crash.New(crash.WithOnVerdict(h.logPartVerdict))
 	h.origins = newStreamOrigins(h)
 	h.catalog = kvcat.NewCatalog(s.Zones, kvcat.WithLog(h.log), kvcat.WithPermissions(h.allowKVTransfer))
 	h.stores = newStoreWatcher(h)
@@ -323,6 +323,18 @@
 	h.config.recordRead(h.tables.CurrentAt(h.platform.OperatorTable(), p))
 }
 
+// logPartVerdict logs that a part of prompts was quarantined, or is not any more.
+func (h *Host) logPartVerdict(v crash.PartVerdict) {
+	message := "a part of prompts is quarantined"
+	if !v.Quarantined {
+		message = "a part of prompts is no longer quarantined"
+	}
+	h.log.Info(
+		message, zap.Stringer("print", v.Part), zap.Int("crashes", v.Counted), zap.Durations("ages", v.Ages), zap.Int("required", v.Required),
+		zap.Int("depth", v.Depth), zap.Int("others", v.Others), zap.Int64("sincesurvived", v.SinceSurvived.Milliseconds()),
+	)
+}
+
 func (h *Host) hostCount() int { return h.members.hostCount() }
 
 func (h *Host) share() rates.Share { return h.members.share() }
