State no time of the platform's clock before the store has answered

Callers saw: requests with a part that crashes targets were sent again after some hosts had restarted (BUDGET at 59 hosts: 17 sends more, 35 targets ended), also by hosts that had refused them for 5 s.

Cause: a host without a response of the store stated its boot clock as the platform's. Receivers took its messages for 16 hours old and dated the crashes in them accordingly. Hosts keep the earliest time of each crash, so that the wrong times spread and crashes no longer counted. The other ages in such messages (software versions, weights, limits) were wrong as well. A boot clock ahead of the platform's would set the estimates of all hosts forward.

Change: such a host states no time. Records from messages of more than a minute count no longer, and a time a minute ahead of the store's own responses is ignored, as hosts of the older build state such times.

Evidence: three tests in internal/gossip and internal/table failed before and pass.

--- a/internal/gossip/delay_test.go
+++ b/internal/gossip/delay_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -81,4 +82,45 @@
 		m.SentMs = 0
 		Expect(e.delay(m)).To(BeZero())
 	})
+
+	// Guards against crash times of another clock, from a host of an older build that has no
+	// response of the store.
+	It("brings no crash records if its time is that of another clock", func() {
+		boot += 20 * time.Hour
+		imported := &importedCrashes{}
+		e.crashes = imported
+		m := message()
+		m.Crashes = []crash.Record{{}}
+		e.recordSharedState(m, e.delay(m))
+		Expect(imported.now).To(BeZero())
+	})
+})
+
+// sentPackets is a connection that keeps the messages that are sent.
+type sentPackets struct {
+	net.PacketConn
+	sent []Message
+}
+
+func (s *sentPackets) WriteTo(b []byte, _ net.Addr) (int, error) {
+	m, err := decodeMessage(b)
+	s.sent = append(s.sent, m)
+	return len(b), err
+}
+
+// Guards against a host that states its own boot clock as the platform's, as it has no
+// response of the store: all ages in its messages are then wrong by the difference.
+var _ = Describe("a message of a host without a response of the store", func() {
+	It("states no time", func() {
+		c := table.NewClock(table.WithBootClock(func() time.Duration { return time.Hour }))
+		e := New("", "b", fleet.New(), nil, WithPlatformClock(c))
+		conn := &sentPackets{}
+		e.write(conn, Message{Host: "b"}, "127.0.0.1:1")
+		c.RecordPeer(5000)
+		e.write(conn, Message{Host: "b"}, "127.0.0.1:1")
+		c.Record(7000)
+		e.write(conn, Message{Host: "b"}, "127.0.0.1:1")
+		Expect(conn.sent).To(HaveLen(3))
+		Expect([]int64{conn.sent[0].SentMs, conn.sent[1].SentMs, conn.sent[2].SentMs}).To(Equal([]int64{0, 0, 7000}))
+	})
 })
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -157,6 +157,11 @@
 	}
 }
 
+// maxMessageAge is the age up to which crash records in a message count. Hosts of an older
+// build that have no response of the store state a time of another clock; the times of
+// crashes that follow from it would spread, as hosts keep the earliest.
+const maxMessageAge = time.Minute
+
 // recordSharedState records the unreachable targets and the rate limits in a message, the
 // registration of its sender, the crash records, the progress of the rollout and the
 // desired weight versions.
@@ -167,7 +172,7 @@
 	if m.Registered && e.roster != nil {
 		e.roster.RecordRegisteredPeer(delay)
 	}
-	if e.crashes != nil && len(m.Crashes) > 0 {
+	if e.crashes != nil && len(m.Crashes) > 0 && delay <= maxMessageAge {
 		if err := e.crashes.Import(m.Crashes, time.Now().Add(-delay)); err != nil {
 			e.log.Warn("crash records of another host are invalid", zap.String("from", m.Host), zap.Error(err))
 		}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -237,7 +237,9 @@
 
 // write sends a message to hosts and returns its size in bytes.
 func (e *Exchange) write(conn net.PacketConn, m Message, peers ...string) int {
-	m.SentMs, _ = e.clock.Sampled()
+	if ms, known := e.clock.Sampled(); known {
+		m.SentMs = ms
+	}
 	b, err := cbor.Marshal(m)
 	if err != nil || len(b) > maxDatagramBytes {
 		e.log.Warn(
--- a/internal/table/clock.go
+++ b/internal/table/clock.go
@@ -11,6 +11,10 @@
 // effect of the drift between two clocks.
 const clockWindow = 30 * time.Second
 
+// maxPeerLead is how far the time that another host states may be ahead of the estimate from
+// the store's own responses. These arrive within seconds; a later time is of another clock.
+const maxPeerLead = time.Minute
+
 // Clock estimates the steady clock of the platform's store, in milliseconds. A time on it
 // means the same on every host, whenever a message with it arrives, and outlives the
 // hosts. Samples are received with some delay, so the estimate is never ahead of the
@@ -43,7 +47,8 @@
 // Record records the time that a response of the store states.
 func (c *Clock) Record(ms int64) { c.record(&c.store, ms) }
 
-// RecordPeer records the time that another host has stated.
+// RecordPeer records the time that another host has stated. A host of an older build that has
+// no response of the store states its own boot clock, which may be ahead of the store's.
 func (c *Clock) RecordPeer(ms int64) { c.record(&c.peers, ms) }
 
 func (c *Clock) record(o *clockOffset, ms int64) {
@@ -66,7 +71,11 @@
 	case !c.store.known:
 		return c.peers.at(now), true
 	}
-	return max(c.store.at(now), c.peers.at(now)), true
+	store, peers := c.store.at(now), c.peers.at(now)
+	if peers-store > maxPeerLead.Milliseconds() {
+		return store, true
+	}
+	return max(store, peers), true
 }
 
 // Sampled returns the estimate from the store's own responses; false if there is none. Only
--- a/internal/table/clock_test.go
+++ b/internal/table/clock_test.go
@@ -53,6 +53,21 @@
 		Expect(now()).To(Equal(int64(124000)))
 	})
 
+	// Guards against the boot clock of a host of an older build, which may be far ahead of the
+	// store's clock.
+	It("ignores another clock that a host states", func() {
+		c.RecordPeer(90 * time.Hour.Milliseconds())
+		c.Record(5000)
+		Expect(now()).To(Equal(int64(5000)))
+		c.RecordPeer(5700)
+		Expect(now()).To(Equal(int64(5000)), "until the other clock is forgotten")
+		boot += 31 * time.Second
+		c.RecordPeer(36200)
+		boot += 31 * time.Second
+		c.RecordPeer(67200)
+		Expect(now()).To(Equal(int64(67200)))
+	})
+
 	// Guards against hosts that confirm each other's estimates.
 	It("passes on only what the store's responses say", func() {
 		c.RecordPeer(90000)
