Keep a part of prompts in quarantine until a target survives it

Callers saw: at 59 hosts requests with a part that crashes targets were refused and sent in turns at one host.

Cause: each verdict was found anew from all records. Another part of the same prompts, of which more crash reports had come, took the place of the deadly one and explained its crashes, and back. Reports that follow each other closely count once, so that their number also falls when earlier ones are merged.

Change: a part in quarantine goes first, and stays there while any of its crashes counts and no target has survived it since.

Evidence: TestQuarantineStays failed before.

--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -56,32 +56,35 @@
 	SinceSurvived time.Duration
 }
 
-// evidence is the number of crashes that count for a part, and the time of the last one.
+// evidence is the number of crashes that count for a part, the time of the last one, and when
+// a target last survived the part.
 type evidence struct {
-	crashes int
-	last    time.Time
+	crashes        int
+	last, survived time.Time
 }
 
 // judge finds the parts that cause crashes. A part is quarantined if it was in a request
 // that was about to start at each of several crashes, and no target has survived it
 // since the first of them. Crashes that a quarantined part explains do not count for
-// other parts: those were in flight beside it.
-func judge(parts map[Fingerprint]History, now time.Time) verdicts {
+// other parts: those were in flight beside it. A part in quarantine stays there
+// until a target survives it or its crashes expire: their number varies with the reports of
+// them that a host has.
+func judge(parts map[Fingerprint]History, previous verdicts, now time.Time) verdicts {
 	v := verdicts{quarantined: map[Fingerprint]evidence{}, suspected: map[Fingerprint]bool{}}
 	var explained []Crash
 	candidates := map[Fingerprint]History{}
 	for p, h := range parts {
-		if n, _ := h.partCrashes(nil, now); n >= h.quarantineAt() {
+		if n, _ := h.partCrashes(nil, now); n >= previous.required(p, h) {
 			candidates[p] = h
 		}
 	}
 	for len(v.quarantined) < maxQuarantinedParts {
-		p, ok := strongest(candidates, v, explained, now)
+		p, ok := strongest(candidates, previous, v, explained, now)
 		if !ok {
 			break
 		}
 		n, last := parts[p].partCrashes(explained, now)
-		v.quarantined[p] = evidence{crashes: n, last: last}
+		v.quarantined[p] = evidence{crashes: n, last: last, survived: parts[p].Survived}
 		explained = append(explained, parts[p].Crashes...)
 	}
 	for p, h := range parts {
@@ -96,19 +99,20 @@
 }
 
 // strongest returns the part with the most evidence among those with enough of it.
-// Parts that no target is known to have survived go first, then those with more
-// crashes, then those deeper in the prompt, which fewer requests share.
-func strongest(parts map[Fingerprint]History, v verdicts, explained []Crash, now time.Time) (Fingerprint, bool) {
+// Parts that were quarantined before go first, then those that no target is known to have
+// survived, then those with more crashes, then those deeper in the prompt, which fewer
+// requests share.
+func strongest(parts map[Fingerprint]History, previous, v verdicts, explained []Crash, now time.Time) (Fingerprint, bool) {
 	var best Fingerprint
 	bestCrashes, found := 0, false
 	for p, h := range parts {
 		n, _ := h.partCrashes(explained, now)
-		if _, done := v.quarantined[p]; done || n < h.quarantineAt() {
+		if _, done := v.quarantined[p]; done || n < previous.required(p, h) {
 			continue
 		}
 		b := parts[best]
 		rank := cmp.Or(
-			cmp.Compare(h.quarantineAt(), b.quarantineAt()), cmp.Compare(bestCrashes, n),
+			previous.compare(p, best), cmp.Compare(h.quarantineAt(), b.quarantineAt()), cmp.Compare(bestCrashes, n),
 			cmp.Compare(b.Depth, h.Depth), bytes.Compare(p[:], best[:]),
 		)
 		if !found || rank < 0 {
@@ -118,6 +122,28 @@
 	return best, found
 }
 
+// required returns the number of crashes that quarantine a part, or that keep it there if no
+// target has survived it since.
+func (v verdicts) required(p Fingerprint, h History) int {
+	if before, ok := v.quarantined[p]; ok && before.survived.Equal(h.Survived) {
+		return 1
+	}
+	return h.quarantineAt()
+}
+
+// compare orders parts that were quarantined before others.
+func (v verdicts) compare(a, b Fingerprint) int {
+	_, first := v.quarantined[a]
+	_, second := v.quarantined[b]
+	switch {
+	case first == second:
+		return 0
+	case first:
+		return -1
+	}
+	return 1
+}
+
 // quarantineAt returns the number of crashes that quarantine the part.
 func (h History) quarantineAt() int {
 	if h.Survived.IsZero() {
--- a/internal/crash/trackerparts.go
+++ b/internal/crash/trackerparts.go
@@ -127,7 +127,7 @@
 	}
 	t.changed, t.judgedAt = false, now
 	before := t.verdicts
-	t.verdicts = judge(t.parts, now)
+	t.verdicts = judge(t.parts, before, now)
 	for p := range t.verdicts.quarantined {
 		if _, known := before.quarantined[p]; !known {
 			t.onVerdict(t.partVerdict(p, now))
--- /dev/null
+++ b/internal/crash/verdict_test.go
@@ -0,0 +1,60 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// crashesAt returns crashes of different targets at times since the start of a test.
+func crashesAt(start time.Time, first uint64, at ...time.Duration) []Crash {
+	var out []Crash
+	for i, d := range at {
+		out = append(out, Crash{ID: (first + uint64(i)) << 32, At: start.Add(d)})
+	}
+	return out
+}
+
+// Guards against a quarantine that is taken back, and given again, because other hosts report
+// more crashes: of another part that is in the same prompts, or ones that come too soon after
+// each other to count.
+func TestQuarantineStays(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Now()
+	now := start.Add(5 * time.Second)
+	deadly, beside := Fingerprint{1}, Fingerprint{2}
+	s := time.Second
+	parts := map[Fingerprint]History{
+		deadly: {Depth: 3, Crashes: crashesAt(start, 1, 0, s, 2*s)},
+		beside: {Depth: 2, Crashes: crashesAt(start, 1, 0, s)},
+	}
+	v := judge(parts, verdicts{}, now)
+	g.Expect(v.quarantined).To(HaveKey(deadly))
+
+	parts[beside] = History{Depth: 2, Crashes: crashesAt(start, 1, 0, s, 2*s, 3*s, 4*s)}
+	g.Expect(judge(parts, verdicts{}, now).quarantined).To(HaveKey(beside), "what a host that knew neither would find")
+	v = judge(parts, v, now)
+	g.Expect(v.quarantined).To(HaveKey(deadly))
+	g.Expect(v.quarantined).NotTo(HaveKey(beside), "two crashes that the other part does not explain")
+
+	parts[deadly] = History{Depth: 3, Crashes: crashesAt(start, 1, 0, s/10, s/5)}
+	v = judge(parts, v, now)
+	g.Expect(v.quarantined).To(HaveKey(deadly), "the reports that are left count as one crash")
+
+	parts[deadly] = History{Depth: 3, Crashes: parts[deadly].Crashes, Survived: now}
+	v = judge(parts, v, now)
+	g.Expect(v.quarantined).NotTo(HaveKey(deadly), "a target has survived it")
+}
+
+// Guards against a part that stays in quarantine for good: its crashes expire.
+func TestQuarantineEndsWithItsCrashes(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Now()
+	p := Fingerprint{1}
+	parts := map[Fingerprint]History{p: {Depth: 1, Crashes: crashesAt(start, 1, 0, time.Second, 2*time.Second)}}
+	v := judge(parts, verdicts{}, start.Add(3*time.Second))
+	g.Expect(v.quarantined).To(HaveKey(p))
+	v = judge(parts, v, start.Add(partRetention+3*time.Second))
+	g.Expect(v.quarantined).To(BeEmpty())
+}
