Send a target nothing while it wants a pause

Callers saw: a target that answers 503 with Retry-After gets requests of the same host at once, 23 in 0.5 s of a pause of 0.8 s (BUDGET), and requests for which all targets want a pause go round until refused.

Cause: the header was read nowhere.

Change: the pause holds for one host and one start of a target. Placement passes it over; a request that cannot wait is refused at once, with a time to return after the first pause.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -172,7 +172,7 @@
 		calls = min(calls, known)
 	}
 	s.accepted, s.refusedAt = max(calls-1, 1), now
-	s.pausedUntil = max(s.pausedUntil, now+pause)
+	s.pauseUntil(now + pause)
 }
 
 // acceptedCalls returns how many calls a target with a refusal limit takes at once, as its refusals show;
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -396,6 +396,10 @@
 	if r.Sealed || r.RefusalLimit != fleet.Unlimited {
 		p.fleet.RecordRefusalLimit(c.ID, r.RefusalLimit)
 	}
+	if r.Pause > 0 && !r.WrongTarget {
+		p.Metrics.Count("paused")
+		p.fleet.RecordPause(c.ID, r.Pause)
+	}
 	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
 		p.fleet.RecordRefusal(c.ID, p.refusalPause(r.RefusalLimit))
 	}
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -83,9 +83,10 @@
 	http.Error(j.w, "the request did not run: "+reason, http.StatusServiceUnavailable)
 }
 
-// retryAfter returns the time after which a refused caller should retry.
-func (p *Proxy) retryAfter(*job) time.Duration {
-	return retryAfterMin + time.Duration(randomFraction()*float64(retryAfterSpread))
+// retryAfter returns the time after which a refused caller should retry: not before a target
+// that asked for a pause takes requests again.
+func (p *Proxy) retryAfter(j *job) time.Duration {
+	return max(retryAfterMin, j.limitedFor) + time.Duration(randomFraction()*float64(retryAfterSpread))
 }
 
 // recordOutcome counts and logs the final outcome of a request.
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -80,6 +80,9 @@
 	// waitingSince is the boot time at which the request was last queued; zero
 	// before that.
 	waitingSince time.Duration
+	// limitedFor is the shortest wait for a target that a rate limit or a pause kept from
+	// this request at the last choice; zero if there was none.
+	limitedFor time.Duration
 	// firstEventAt and lastEventAt are the boot times of the first and of the last event
 	// of the current attempt.
 	firstEventAt, lastEventAt atomic.Int64
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -122,6 +122,9 @@
 	// RefusalLimit is the number of requests that the target can refuse in a second without
 	// crashing; fleet.Unlimited if it names no such limit.
 	RefusalLimit float64
+	// Pause is the time for which the target wants no requests of this host; zero if it
+	// asks for none.
+	Pause time.Duration
 	// Version is the weight version that ran the request; zero if the target does
 	// not state it.
 	Version int
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -207,8 +207,8 @@
 }
 
 // eligible returns the targets that may take a request now. The time is the shortest wait
-// for a target that may take no more than the rate limit that it names; zero if there is
-// none.
+// for a target that may take no more than the rate limit that it names, or that has asked for
+// a pause; zero if there is none.
 func (p *Proxy) eligible(j *job) (targets []fleet.Status, limitedFor time.Duration) {
 	serving := p.fleet.Serving(j.service.Name)
 	targets = serving[:0]
@@ -238,6 +238,7 @@
 	}
 	eligible, limitedFor := p.eligible(j)
 	v := p.chooseFrom(j, eligible)
+	j.limitedFor = limitedFor
 	if _, ok := v.(granted); !ok && limitedFor > 0 && limitedFor < p.waitLimit(j) {
 		p.dispatchAfter(limitedFor)
 		return nil
