Send nothing to a target that says in an answer that it leaves

Cause: Server-Leaving was read nowhere; a host knew of leaving from the list alone.

Change: the first such answer makes that start of the target leaving.

--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -34,3 +34,18 @@
 // pauseUntil keeps the requests of this host from the target until a boot time, or longer if
 // that was asked before.
 func (s *state) pauseUntil(t time.Duration) { s.pausedUntil = max(s.pausedUntil, t) }
+
+// RecordLeaving records that a start of a target has said that it leaves. It gets no requests
+// any more, whatever the list shows.
+func (f *Fleet) RecordLeaving(id string, startedAtMs int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok || s.Leaving || s.StartedAtMs != startedAtMs {
+		return
+	}
+	t := *s.Target
+	t.Leaving = true
+	s.Target = &t
+	f.onChange(Change{Target: t, Event: "leaving"})
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -400,6 +400,9 @@
 		p.Metrics.Count("paused")
 		p.fleet.RecordPause(c.ID, r.Pause)
 	}
+	if r.Leaving && !r.WrongTarget {
+		p.fleet.RecordLeaving(c.ID, c.StartedAtMs)
+	}
 	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
 		p.fleet.RecordRefusal(c.ID, p.refusalPause(r.RefusalLimit))
 	}
