Count the repeats of the process that a host ran before

Cause: each process took its host's share of the fixed number of repeats anew, although the one before may have used it in the same window.

Change: rows of hosts state when they were written.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -14,11 +14,14 @@
 )
 
 // Allowance bounds the repeated requests that all hosts together send to one
-// service within any window: Ratio times the number of first requests, plus Fixed.
+// service within any window: Ratio times the number of first requests, plus Fixed. A host whose
+// process has ended has counted none of what that one sent: Fixed counts for it from
+// FixedFrom on, when no window reaches back to the end of that process.
 type Allowance struct {
-	Ratio  float64
-	Fixed  float64
-	Window time.Duration
+	Ratio     float64
+	Fixed     float64
+	Window    time.Duration
+	FixedFrom time.Duration
 }
 
 // Window enforces one host's share of an allowance for one service. The ratio
@@ -60,7 +63,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	if float64(sum(w.repeats)+1) > w.share(hosts) {
+	if float64(sum(w.repeats)+1) > w.share(now, hosts) {
 		return false
 	}
 	w.repeats[w.currentBucket%windowBuckets]++
@@ -72,13 +75,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	return max(int(w.share(hosts))-sum(w.repeats), 0)
+	return max(int(w.share(now, hosts))-sum(w.repeats), 0)
 }
 
 // share returns the number of repeats that this host may send within the window.
-func (w *Window) share(hosts int) float64 {
-	own := w.allowance.Ratio * float64(sum(w.requests))
-	return windowSafetyFactor * (own + w.allowance.Fixed/float64(max(hosts, 1)))
+func (w *Window) share(now time.Duration, hosts int) float64 {
+	repeats := w.allowance.Ratio * float64(sum(w.requests))
+	if now >= w.allowance.FixedFrom {
+		repeats += w.allowance.Fixed / float64(max(hosts, 1))
+	}
+	return windowSafetyFactor * repeats
 }
 
 // advance clears the buckets between the last call and now.
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -51,6 +51,43 @@
 		}
 	})
 
+	// Guards against processes that start again and again, and each use the fixed part of
+	// which their predecessors have used their share.
+	It("stays within the allowance while hosts start again", func() {
+		const hosts, restart, ticksPerWindow = 6, 21, 100
+		windows := make([]*retry.Window, hosts)
+		requests, repeats := make([]int, 600), make([]int, 600)
+		for i := range requests {
+			now := time.Minute + time.Duration(i)*100*time.Millisecond
+			for h := range windows {
+				switch {
+				case i == 0:
+					windows[h] = retry.NewWindow(allow)
+				case i%restart == 0:
+					a := allow
+					a.FixedFrom = now + allow.Window
+					windows[h] = retry.NewWindow(a)
+				}
+				if (i+h)%4 == 0 {
+					windows[h].AddRequest(now)
+					requests[i]++
+				}
+				for range 5 {
+					if windows[h].TryRepeat(now, hosts) {
+						repeats[i]++
+					}
+				}
+			}
+		}
+		for end := ticksPerWindow; end <= len(requests); end++ {
+			n, r := 0, 0
+			for i := end - ticksPerWindow; i < end; i++ {
+				n, r = n+requests[i], r+repeats[i]
+			}
+			Expect(float64(r)).To(BeNumerically("<=", 0.2*float64(n)+52))
+		}
+	})
+
 	It("allows a host that has counted no requests its part of the fixed number of repeats that all hosts share", func() {
 		w := retry.NewWindow(allow)
 		Expect(w.TryRepeat(time.Second, 6)).To(BeTrue())
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -124,6 +124,9 @@
 	versionRow   *versionRow
 	peerClient   *peerClient
 	tables       *relay.Relay
+	// repeatsFrom is the boot time from which the fixed part of the retry budget counts,
+	// guarded by mu.
+	repeatsFrom time.Duration
 	// fleetChanged receives a value when the state of a target has changed.
 	fleetChanged chan struct{}
 	draining     atomic.Bool
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -82,6 +82,8 @@
 	// Capacity is the host's share of a CPU core times the rate of its link in
 	// megabits per second.
 	Capacity float64 `json:"width,omitempty"`
+	// AtMs is the time of the write on the platform's clock; zero if it was not known.
+	AtMs int64 `json:"at,omitempty"`
 	// StoresStreams is set by builds that store the streams of services with several
 	// software versions before their callers get events of them.
 	StoresStreams bool `json:"streams,omitempty"`
@@ -114,6 +116,8 @@
 		return &InvalidRowError{Problem: "the peer address is not IP:PORT"}
 	case m.LifeMillis < 0 || m.LifeMillis > maxRowLifetime.Milliseconds():
 		return &InvalidRowError{Problem: fmt.Sprintf("a lifetime of %d ms is outside 0 to %v", m.LifeMillis, maxRowLifetime)}
+	case m.AtMs < 0:
+		return &InvalidRowError{Problem: "the time of the write is negative"}
 	case m.Capacity < 0 || m.Capacity > maxCapacity:
 		return &InvalidRowError{Problem: fmt.Sprintf("a capacity of %g is outside 0 to %g", m.Capacity, maxCapacity)}
 	}
@@ -213,12 +217,16 @@
 // writeRow writes this host's row, which is to be written again after interval. It
 // reports whether the write succeeded.
 func (m *members) writeRow(ctx context.Context, interval time.Duration) bool {
+	if m.writes == 0 {
+		m.readPredecessor(ctx)
+	}
 	m.writes++
 	own := m.host.settings
 	row := memberRow{
 		Host: own.Name, Zone: own.Zone, Peer: own.Peer, StartedAtMs: m.startedAtMs, Writes: m.writes, Capacity: own.relayCapacity(),
 		LifeMillis: (missedWrites * interval).Milliseconds(), StoresStreams: true,
 	}
+	row.AtMs, _ = m.host.storeTime()
 	b, err := json.Marshal(row)
 	if err != nil {
 		m.host.log.Error("could not encode the row of this host", zap.Error(err))
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -19,6 +19,7 @@
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/origin"
+	"sesamehill.example/sesamehill/internal/table"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -387,6 +388,10 @@
 
 func (r *restorableRows) Era() uint64 { return r.era.Load() }
 
+func (r *restorableRows) Read(_ context.Context, keys ...string) ([]table.Row, error) {
+	return []table.Row{{Key: keys[0]}}, nil
+}
+
 // Guards against hosts that are missing for others until their next regular write,
 // seconds after the platform has lost their rows.
 func TestRowIsWrittenAgainAfterRestore(t *testing.T) {
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -69,7 +69,7 @@
 		h.log.Warn("changed settings take effect only after a restart", zap.Any("old", old.fixed()), zap.Any("new", next.fixed()))
 	}
 	h.setSettings(next)
-	h.proxy.SetAllowance(next.retryAllowance())
+	h.updateAllowance()
 	h.proxy.SetStaleLimits(next.staleLimits())
 	if next.Placement != old.Placement {
 		h.proxy.SetPolicy(next.placementPolicy())
