--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -380,6 +380,10 @@
 	return slices.Clone(r.rows)
 }
 
+func (r *rowRecorder) Read(_ context.Context, keys ...string) ([]table.Row, error) {
+	return []table.Row{{Key: keys[0]}}, nil
+}
+
 // restorableRows is a rowRecorder of a platform that states its era.
 type restorableRows struct {
 	rowRecorder
@@ -388,10 +392,6 @@
 
 func (r *restorableRows) Era() uint64 { return r.era.Load() }
 
-func (r *restorableRows) Read(_ context.Context, keys ...string) ([]table.Row, error) {
-	return []table.Row{{Key: keys[0]}}, nil
-}
-
 // Guards against hosts that are missing for others until their next regular write,
 // seconds after the platform has lost their rows.
 func TestRowIsWrittenAgainAfterRestore(t *testing.T) {
