Bound the answer of a host to a request for a tunnel

Callers saw nothing so far. A process at the address of a host that has gone can answer without end: the host that asks for a tunnel keeps or discards all until its deadline.

Cause: the reader of the head had no bound, and closing the body of a refusal reads it to its end.

Change: 16 KB for the head; the connection of a refusal is closed with its body unread.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -7,10 +7,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 )
 
+// maxHeadBytes bounds the answer of a host to a request for a tunnel. Another process may have
+// the address of a host that has gone.
+const maxHeadBytes = 16 << 10
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -55,13 +60,14 @@
 	if err := req.Write(c); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(c)
-	resp, err := http.ReadResponse(reader, req)
+	limited := &io.LimitedReader{R: c, N: maxHeadBytes}
+	reader := bufio.NewReader(limited)
+	resp, err := http.ReadResponse(reader, req) //nolint:bodyclose // Close would read the body to its end; the connection is closed
 	if err != nil {
 		return nil, err
 	}
+	limited.N = math.MaxInt64
 	if resp.StatusCode != http.StatusSwitchingProtocols {
-		_ = resp.Body.Close() // the connection is closed
 		return nil, &RefusedError{Host: host, Status: resp.StatusCode}
 	}
 	return reader, nil
