--- a/internal/calls/conn.go
+++ b/internal/calls/conn.go
@@ -16,6 +16,9 @@
 	minReadBytes = 4 << 10
 	// maxIdleBufferBytes is the largest buffer that a connection keeps while it is idle.
 	maxIdleBufferBytes = 64 << 10
+	// maxUnreadBytes bounds a head, trailer or line: hertz asks for a byte more until it has
+	// received the whole. It asks for a body, whose length it bounds, at once.
+	maxUnreadBytes = 2 * maxEventBytes
 )
 
 var errNoReply = errors.New("the server closed the connection before replying")
@@ -66,6 +69,10 @@
 // a reply it replaces io.EOF by another error, because hertz treats io.EOF as a
 // stale connection and sends the request a second time.
 func (c *conn) Peek(n int) ([]byte, error) {
+	if c.Len() >= maxUnreadBytes && n > c.Len() && n-c.Len() < minReadBytes {
+		c.owner.failed.Store(true)
+		return nil, fmt.Errorf("a head, trailer or line of the reply exceeds %d bytes; check the server at %s", maxUnreadBytes, c.RemoteAddr())
+	}
 	for c.Len() < n {
 		if err := c.fill(n - c.Len()); err != nil {
 			if !c.owner.replied.Load() {
--- a/internal/calls/pool.go
+++ b/internal/calls/pool.go
@@ -121,6 +121,9 @@
 	if err == nil && cc.failed.Load() {
 		err = errReadFailed
 	}
+	if status := resp.StatusCode(); err == nil && status < http.StatusOK {
+		err = fmt.Errorf("the server sent status %d in place of a reply; no request asks for it", status)
+	}
 	if err != nil {
 		_ = resp.CloseBodyStream()
 		protocol.ReleaseResponse(resp)
