--- a/internal/server/streamrows.go
+++ b/internal/server/streamrows.go
@@ -11,7 +11,6 @@
 
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/pause"
-	"sesamehill.example/sesamehill/internal/table"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -38,10 +37,8 @@
 	streamCallTimeout = 700 * time.Millisecond
 	streamPageRows    = 500
 	// streamCheckInterval is the time after which rows are written again if the platform was
-	// restored; staleRowsInterval is the time between two looks for rows of hosts that have
-	// gone.
+	// restored.
 	streamCheckInterval = 500 * time.Millisecond
-	staleRowsInterval   = 30 * time.Second
 )
 
 // streamRow is a row with the streams of a period.
@@ -224,81 +221,3 @@
 		}
 	}
 }
-
-// read reads the streams that all hosts had stored before the call. It reports whether it
-// could.
-func (s *streamStore) read(ctx context.Context) bool {
-	calledAt := wire.BootTime()
-	select {
-	case s.reading <- struct{}{}:
-	case <-ctx.Done():
-		return false
-	}
-	defer func() { <-s.reading }()
-	if s.readAt > calledAt {
-		return true
-	}
-	startedAt := wire.BootTime()
-	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
-	defer cancel()
-	rows, err := s.scan(ctx)
-	if err != nil {
-		s.host.log.Warn("stored streams cannot be read", zap.Error(err))
-		return false
-	}
-	for _, row := range rows {
-		var begun []origin.Begun
-		if err := cbor.Unmarshal(row.Value, &begun); err != nil {
-			s.host.log.Warn("row of stored streams cannot be decoded; ignoring it", zap.String("key", shorten(row.Key)), zap.String("error", shorten(err.Error())))
-			continue
-		}
-		s.registry.Import(begun, startedAt)
-	}
-	s.readAt = startedAt
-	return true
-}
-
-// scan returns all rows of the table.
-func (s *streamStore) scan(ctx context.Context) ([]table.Row, error) {
-	var rows []table.Row
-	for after := ""; ; {
-		page, err := s.table.Scan(ctx, "", after, streamPageRows)
-		if err != nil || len(page) == 0 {
-			return rows, err
-		}
-		rows = append(rows, page...)
-		after = page[len(page)-1].Key
-	}
-}
-
-// RemoveStale removes the rows that have not changed for longer than a stream may be resumed,
-// until ctx is cancelled. Only the lease holder does.
-func (s *streamStore) RemoveStale(ctx context.Context) error {
-	type seen struct {
-		version uint64
-		at      time.Duration
-	}
-	known := map[string]seen{}
-	for pause.For(ctx, staleRowsInterval) == nil {
-		if !s.host.IssuesOrders() || len(known) == 0 && !s.registry.Mixed() {
-			continue
-		}
-		rows, err := s.scan(ctx)
-		if err != nil {
-			continue
-		}
-		now, previous := wire.BootTime(), known
-		known = make(map[string]seen, len(rows))
-		for _, row := range rows {
-			k, ok := previous[row.Key]
-			if !ok || k.version != row.Version {
-				k = seen{version: row.Version, at: now}
-			}
-			known[row.Key] = k
-			if now-k.at > origin.Retention {
-				_ = s.table.Write(ctx, []table.Op{{Key: row.Key, Version: row.Version, Delete: true}}) // tried again
-			}
-		}
-	}
-	return nil
-}
