--- a/internal/calls/conn.go
+++ b/internal/calls/conn.go
@@ -16,6 +16,9 @@
 	minReadBytes = 4 << 10
 	// maxIdleBufferBytes is the largest buffer that a connection keeps while it is idle.
 	maxIdleBufferBytes = 64 << 10
+	// maxReadAheadBytes bounds what is read beyond the bytes that hertz has asked for. The
+	// buffer doubles as it grows, and a whole reply would be read past the bound on bodies.
+	maxReadAheadBytes = 64 << 10
 	// maxUnreadBytes bounds a head, trailer or line: hertz asks for a byte more until it has
 	// received the whole. It asks for a body, whose length it bounds, at once.
 	maxUnreadBytes = 2 * maxEventBytes
@@ -162,7 +165,8 @@
 // fill reads from the connection once, with space for at least n bytes.
 func (c *conn) fill(n int) error {
 	c.received = slices.Grow(c.received, max(n, minReadBytes))
-	m, err := c.Conn.Read(c.received[len(c.received):cap(c.received)])
+	end := min(cap(c.received), len(c.received)+max(n, maxReadAheadBytes))
+	m, err := c.Conn.Read(c.received[len(c.received):end])
 	c.received = c.received[:len(c.received)+m]
 	if m > 0 {
 		c.owner.replied.Store(true)
