--- a/internal/crash/verdict_test.go
+++ b/internal/crash/verdict_test.go
@@ -23,28 +23,28 @@
 	g := NewWithT(t)
 	start := time.Now()
 	now := start.Add(5 * time.Second)
-	deadly, beside := Fingerprint{1}, Fingerprint{2}
+	cause, beside := Fingerprint{1}, Fingerprint{2}
 	s := time.Second
 	parts := map[Fingerprint]History{
-		deadly: {Depth: 3, Crashes: crashesAt(start, 1, 0, s, 2*s)},
+		cause: {Depth: 3, Crashes: crashesAt(start, 1, 0, s, 2*s)},
 		beside: {Depth: 2, Crashes: crashesAt(start, 1, 0, s)},
 	}
 	v := judge(parts, verdicts{}, now)
-	g.Expect(v.quarantined).To(HaveKey(deadly))
+	g.Expect(v.quarantined).To(HaveKey(cause))
 
 	parts[beside] = History{Depth: 2, Crashes: crashesAt(start, 1, 0, s, 2*s, 3*s, 4*s)}
 	g.Expect(judge(parts, verdicts{}, now).quarantined).To(HaveKey(beside), "what a host that knew neither would find")
 	v = judge(parts, v, now)
-	g.Expect(v.quarantined).To(HaveKey(deadly))
+	g.Expect(v.quarantined).To(HaveKey(cause))
 	g.Expect(v.quarantined).NotTo(HaveKey(beside), "two crashes that the other part does not explain")
 
-	parts[deadly] = History{Depth: 3, Crashes: crashesAt(start, 1, 0, s/10, s/5)}
+	parts[cause] = History{Depth: 3, Crashes: crashesAt(start, 1, 0, s/10, s/5)}
 	v = judge(parts, v, now)
-	g.Expect(v.quarantined).To(HaveKey(deadly), "the reports that are left count as one crash")
+	g.Expect(v.quarantined).To(HaveKey(cause), "the reports that are left count as one crash")
 
-	parts[deadly] = History{Depth: 3, Crashes: parts[deadly].Crashes, Survived: now}
+	parts[cause] = History{Depth: 3, Crashes: parts[cause].Crashes, Survived: now}
 	v = judge(parts, v, now)
-	g.Expect(v.quarantined).NotTo(HaveKey(deadly), "a target has survived it")
+	g.Expect(v.quarantined).NotTo(HaveKey(cause), "a target has survived it")
 }
 
 // Guards against a part that stays in quarantine for good: its crashes expire.
