--- a/internal/crash/verdict_test.go
+++ b/internal/crash/verdict_test.go
@@ -26,7 +26,7 @@
 	cause, beside := Fingerprint{1}, Fingerprint{2}
 	s := time.Second
 	parts := map[Fingerprint]History{
-		cause: {Depth: 3, Crashes: crashesAt(start, 1, 0, s, 2*s)},
+		cause:  {Depth: 3, Crashes: crashesAt(start, 1, 0, s, 2*s)},
 		beside: {Depth: 2, Crashes: crashesAt(start, 1, 0, s)},
 	}
 	v := judge(parts, verdicts{}, now)
