Read the operator's regions, cold rates and the slowdown in load reports

Cause: load reports with a fourth figure were dropped whole, so that a deployment whose targets send it had no load of any target; allowed regions and cold rates of the operator configuration were not decoded. Change: opconf and fleet hold them; nothing decides by them yet.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -41,6 +41,9 @@
 // Load is a target's own report: requests running and waiting, and its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the target at the moment of the report, in
+	// multiples of the usual time; zero if the target does not say.
+	Slowdown float64
 }
 
 // Status is a target with the host's view of its state.
--- a/internal/opconf/config.go
+++ b/internal/opconf/config.go
@@ -47,6 +47,9 @@
 	HasPrompt bool
 	// Resumable is set if another target may continue a stream of the route.
 	Resumable bool
+	// AllowedRegions are the regions in which requests of the route may be served, cached
+	// and stored; empty for all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -114,6 +117,14 @@
 	Name   string
 	Engine *Engine
 	Store  *Store
+	// ColdTime is how long a target stays cold after its start. While it is cold, it takes
+	// ColdRate requests a second from all hosts together. Zero if targets are never cold.
+	ColdTime time.Duration
+	ColdRate float64
+	// MaxConns is the number of connections that a target accepts; zero if unknown.
+	MaxConns int
+	// HealthPath is the path of a target's health check; empty if it has none.
+	HealthPath string
 }
 
 // Account is a client account.
@@ -125,6 +136,9 @@
 	HasPriority bool
 	// Dedicated is set if the account shares no KV cache entries with others.
 	Dedicated bool
+	// AllowedRegions are the regions in which requests of the account may be served, cached
+	// and stored; empty for all. Those of a route bind as well.
+	AllowedRegions []string
 }
 
 // Limits bounds the requests and connections of callers.
