Keep requests, bodies and cached state in the allowed regions

Cause: allowed regions of routes and client accounts were decoded and used nowhere, so that requests ran at targets in any region. Change: package homes intersects the regions of route and account. Targets outside are passed over at each choice: first attempts, waiting, repeats, resumed streams. Only hosts in the allowed regions are asked for tunnels, and kept connections through others are closed before anything is sent on them. Restricted prompts have cache namespaces of their own, and neither fetch from nor save to stores elsewhere. Where no allowed region can serve now, or route and account leave none, requests are refused at once as not run; conflicts are logged with the names of both sides. Measured: without the change 5 of 10 cases of platform/testdata/homes, the case of kvcat and the one of wire fail; with it they pass. TestStallTimeout of internal/wire, which this does not touch, failed once beside the load of others ("no data was received for too long") and passed in the next run.

--- a/internal/kvcat/catalog_test.go
+++ b/internal/kvcat/catalog_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/proxy"
@@ -170,16 +171,38 @@
 	// Guards against KV cache entries of another account or of other weights in a
 	// prompt.
 	It("separates dedicated accounts and weight versions", func() {
-		dedicated := &opconf.Account{Name: "bees", Dedicated: true}
+		dedicated, all, sul := &opconf.Account{Name: "bees", Dedicated: true}, homes.Regions{}, homes.Of([]string{"sul"})
 		namespaces := map[string]bool{}
 		for _, s := range []string{
-			c.Namespace("m", 1, nil), c.Namespace("m", 2, nil), c.Namespace("n", 1, nil), c.Namespace("m", 1, dedicated),
-			c.Namespace("m", 1, &opconf.Account{Name: "wasps", Dedicated: true}),
+			c.Namespace("m", 1, nil, all), c.Namespace("m", 2, nil, all), c.Namespace("n", 1, nil, all), c.Namespace("m", 1, dedicated, all),
+			c.Namespace("m", 1, &opconf.Account{Name: "wasps", Dedicated: true}, all),
+			c.Namespace("m", 1, nil, sul), c.Namespace("m", 1, nil, homes.Of([]string{"sudeste"})), c.Namespace("m", 1, dedicated, sul),
+			c.Namespace("m", 1, &opconf.Account{Name: dedicated.Name + "/sul", Dedicated: true}, all),
 		} {
 			namespaces[s] = true
 		}
-		Expect(namespaces).To(HaveLen(5))
-		Expect(c.Namespace("m", 1, &opconf.Account{Name: "open"})).To(Equal(c.Namespace("m", 1, nil)))
+		Expect(namespaces).To(HaveLen(9))
+		Expect(c.Namespace("m", 1, &opconf.Account{Name: "open"}, all)).To(Equal(c.Namespace("m", 1, nil, all)))
+	})
+
+	// Guards against the memory of a prompt with allowed regions in a store outside these,
+	// and against a fetch from there.
+	It("uses only stores in the allowed regions", func() {
+		sul := c.Namespace("m", 1, nil, homes.Of([]string{"sul", "norte"}))
+		small := &proxy.Prompt{Model: "m", InputTokens: 20, Parts: []proxy.Part{{ID: "aa", Tokens: 10}, {ID: "own", Tokens: 10}}}
+		holdFar := func(namespace string) {
+			part := kvcat.StoredPart{Key: kvcat.Key{Namespace: namespace, Part: "aa"}, Tokens: 10}
+			c.RecordListing(far, kvcat.Listing{Epoch: 1, Next: 1, Parts: []kvcat.StoredPart{part}, ClockMs: now.Milliseconds() + 1000}, now)
+		}
+		holdFar(namespace)
+		Expect(c.Plan(small, namespace, 1, engine).Fetch[0]).To(Equal(far), "without a restriction the fetch pays")
+		holdFar(sul)
+		Expect(c.Plan(small, sul, 1, engine).Fetch[0]).To(BeEmpty())
+		_, stored, _ := c.Lookup(small, sul).Estimate(engine)
+		Expect(stored).To(BeZero())
+		outside := c.Plan(prompt, sul, 1, fleet.Target{ID: "x", Zone: "sudeste-a"})
+		Expect(append(outside.Fetch, outside.Save...)).To(HaveEach(""))
+		Expect(c.Garbage(map[string]int{"m": 2})).NotTo(BeEmpty(), "entries of replaced weights are freed")
 	})
 
 	It("returns only parts of replaced weights as garbage", func() {
--- a/internal/kvcat/garbage.go
+++ b/internal/kvcat/garbage.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"sesamehill.example/sesamehill/internal/homes"
 )
 
 // freeCallTimeout is how long a call that frees parts may take to arrive at the
@@ -47,12 +49,29 @@
 	return out
 }
 
+// namespaceFields is the number of fields of a namespace: model, weight version, dedicated
+// account and key of the allowed regions.
+const namespaceFields = 4
+
 // parseNamespace returns the model and the weight version of a namespace.
 func parseNamespace(namespace string) (model string, version int, ok bool) {
-	fields := strings.SplitN(namespace, "/", 3)
+	fields := strings.SplitN(namespace, "/", namespaceFields)
 	if len(fields) < 2 {
 		return "", 0, false
 	}
 	version, err := strconv.Atoi(fields[1])
 	return fields[0], version, err == nil
 }
+
+// allowedRegions returns the regions in which entries of a namespace may be stored; none if
+// it does not name them correctly.
+func allowedRegions(namespace string) homes.Regions {
+	fields := strings.SplitN(namespace, "/", namespaceFields)
+	if len(fields) < namespaceFields {
+		return homes.Regions{}
+	}
+	if allowed, ok := homes.ParseKey(fields[namespaceFields-1]); ok {
+		return allowed
+	}
+	return homes.Regions{Restricted: true}
+}
--- a/internal/kvcat/plan.go
+++ b/internal/kvcat/plan.go
@@ -1,10 +1,12 @@
 package kvcat
 
 import (
+	"net/url"
 	"strconv"
 	"time"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/proxy"
@@ -33,11 +35,19 @@
 )
 
 // Namespace returns the cache namespace of an account's KV cache entries. Each
-// weight version has its own, and so has each dedicated account.
-func (*Catalog) Namespace(model string, version int, account *opconf.Account) string {
-	namespace := model + "/" + strconv.Itoa(version)
+// weight version has its own, and so has each dedicated account and each set of allowed
+// regions. Without the last, a prompt that may be served anywhere would move the entries
+// of a restricted one to another region, as entries do not tell which prompts made them.
+func (*Catalog) Namespace(model string, version int, account *opconf.Account, allowed homes.Regions) string {
+	namespace, owner := model+"/"+strconv.Itoa(version), ""
 	if account != nil && account.Dedicated {
-		namespace += "/" + account.Name
+		owner = url.QueryEscape(account.Name)
+	}
+	switch {
+	case allowed.Restricted:
+		return namespace + "/" + owner + "/" + allowed.Key()
+	case owner != "":
+		return namespace + "/" + owner
 	}
 	return namespace
 }
@@ -69,6 +79,7 @@
 // Lookup returns where the shared parts of a prompt are cached.
 func (c *Catalog) Lookup(p *proxy.Prompt, namespace string) proxy.CachedParts {
 	fetch, _ := c.permitted(namespace)
+	allowed := allowedRegions(namespace)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.snapshot()
@@ -78,7 +89,7 @@
 		h.tokens += part.Tokens
 		cached := cachedPart{tokens: part.Tokens}
 		if fetch {
-			cached.stores = c.storesWith(Key{namespace, part.ID}, m)
+			cached.stores = c.storesWith(Key{namespace, part.ID}, allowed, m)
 		}
 		h.parts = append(h.parts, cached)
 	}
@@ -137,6 +148,10 @@
 // them. It records that the target was sent the prompt.
 func (c *Catalog) Plan(p *proxy.Prompt, namespace string, version int, t fleet.Target) *proxy.CachePlan {
 	fetch, save := c.permitted(namespace)
+	allowed := allowedRegions(namespace)
+	if !allowed.Allows(c.regions[t.Zone]) {
+		fetch, save = false, false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.snapshot()
@@ -148,7 +163,7 @@
 	fetches, totalMs := false, 0.0
 	for i, part := range shared {
 		key := Key{namespace, part.ID}
-		s, factor, stored := c.nearest(c.storesWith(key, m), t.Zone)
+		s, factor, stored := c.nearest(c.storesWith(key, allowed, m), t.Zone)
 		if stored {
 			if partMs := c.fetchTimeMs(s, part.Tokens, factor); fetch && fetchPays(part.Tokens, partMs, s.slowdown) {
 				plan.Fetch[i] = s.Address
@@ -233,11 +248,12 @@
 	return c.permissions(model, version)
 }
 
-// storesWith returns the stores that hold a part according to their fresh state.
-func (c *Catalog) storesWith(k Key, m snapshot) []partSource {
+// storesWith returns the stores in the allowed regions that hold a part according to their
+// fresh state.
+func (c *Catalog) storesWith(k Key, allowed homes.Regions, m snapshot) []partSource {
 	var out []partSource
 	for _, s := range c.ordered {
-		if !s.fresh(m.now) {
+		if !s.fresh(m.now) || !allowed.Allows(c.regions[s.Zone]) {
 			continue
 		}
 		if _, ok := s.parts[k]; ok {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -149,6 +149,7 @@
 
 // roundTrip makes the call and decides what its failure means.
 func (p *Proxy) roundTrip(ctx context.Context, cancel context.CancelCauseFunc, j *job, c reservation) (attemptResult, fleet.Outcome) {
+	ctx = withRestriction(ctx, j.allowed)
 	s := p.newDispatch(j, c)
 	req, err := p.codec.NewRequest(ctx, s)
 	if err != nil {
@@ -229,7 +230,7 @@
 			b = binding{software: c.Software, bound: true}
 		}
 		return !b.bound || slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
-			return s.ID != c.ID && !excluded[s.ID] && b.allows(s.Target)
+			return s.ID != c.ID && !excluded[s.ID] && b.allows(s.Target) && p.mayServe(j, s)
 		})
 	}
 }
@@ -371,8 +372,8 @@
 	if j.route.Kind != opconf.Idempotent || j.attempts >= j.route.Attempts {
 		return false
 	}
-	untried := len(p.fleet.Serving(j.service.Name)) - len(j.excluded) - 1
-	return untried > 0 && p.window(j.service.Name).Remaining(wire.BootTime(), p.hosts()) > 0
+	untried := slices.DeleteFunc(p.fleet.Serving(j.service.Name), func(s fleet.Status) bool { return j.excluded[s.ID] || !p.mayServe(j, s) })
+	return len(untried) > 1 && p.window(j.service.Name).Remaining(wire.BootTime(), p.hosts()) > 0
 }
 
 // newDispatch describes an attempt that starts now.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -42,7 +42,7 @@
 	load := fleet.InFlight{}
 	if j.Prompt != nil {
 		version := s.Versions[j.Prompt.Model]
-		namespace := p.planner.Namespace(j.Prompt.Model, version, j.account)
+		namespace := p.planner.Namespace(j.Prompt.Model, version, j.account, j.allowed)
 		chosen.plan = p.planner.Plan(j.Prompt, namespace, version, *s.Target)
 		w := promptWork(j.Prompt)
 		load.Tokens = w.Shared + w.Own + j.Prompt.MaxOutputTokens
@@ -91,7 +91,7 @@
 	version := s.Versions[j.Prompt.Model]
 	age, outdated := p.weights.OutdatedFor(j.Prompt.Model, version)
 	c.Stale = outdated && age > staleWeightsGrace
-	namespace := p.planner.Namespace(j.Prompt.Model, version, j.account)
+	namespace := p.planner.Namespace(j.Prompt.Model, version, j.account, j.allowed)
 	cached, ok := lookups[namespace]
 	if !ok {
 		cached = p.planner.Lookup(j.Prompt, namespace)
@@ -157,6 +157,9 @@
 	if j.route.Kind == opconf.Streaming {
 		fields = append(fields, zap.String("software", c.Software), zap.String("resumes", j.Resumes), zap.String("lastevent", j.order.lastID()))
 	}
+	if j.allowed.Restricted {
+		fields = append(fields, zap.Strings("regions", j.allowed.Names))
+	}
 	if c.Tunneled {
 		fields = append(fields, zap.Bool("tunneled", true))
 	}
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -11,6 +11,7 @@
 
 	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/crash"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -47,6 +48,8 @@
 	route   *opconf.Route
 	account *opconf.Account
 	service *opconf.Service
+	// allowed are the regions in which the request may be served, cached and stored.
+	allowed homes.Regions
 	// deadline is the boot time at which the caller gets the final answer at the
 	// latest.
 	deadline    time.Duration
@@ -133,6 +136,7 @@
 			return false
 		}
 	}
+	j.setAllowedRegions()
 	if j.service, ok = j.config.Service(route.PickService(randomFraction())); !ok {
 		p.refuse(j, "the configuration does not describe the service of the route", time.Second)
 		return false
@@ -209,6 +213,10 @@
 func (p *Proxy) serve(ctx context.Context, j *job) {
 	p.Metrics.Count("requests")
 	p.window(j.service.Name).AddRequest(wire.BootTime())
+	if j.allowed.Excluded() {
+		p.refuseExcluded(j)
+		return
+	}
 	if refuse, ok := p.crashes.Admit(j.fingerprint, time.Now(), j.parts...).(crash.Refuse); ok {
 		p.refuseQuarantined(j, refuse)
 		return
@@ -228,7 +236,7 @@
 		}
 		switch v := p.acquire(ctx, j).(type) {
 		case noTarget:
-			p.giveUp(j, j.noTargetReason())
+			p.giveUp(j, p.noTargetReason(j))
 			return
 		case waitExpired:
 			p.queueTimedOut(ctx, j, v.queueTime)
@@ -247,7 +255,10 @@
 }
 
 // noTargetReason says why no target can take a request.
-func (j *job) noTargetReason() string {
+func (p *Proxy) noTargetReason(j *job) string {
+	if reason := p.restrictedReason(j); reason != "" {
+		return reason
+	}
 	if j.binding.bound {
 		return "no remaining target with the software version that began the stream can take the request"
 	}
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -134,16 +134,19 @@
 			settled = append(settled, s)
 		}
 	}
-	if len(settled) == 0 && !p.servesSettled(j.service.Name) {
+	if len(settled) == 0 && !p.servesSettled(j) {
 		return targets
 	}
 	return settled
 }
 
-// servesSettled reports whether a software version that may get new streams serves, whether
-// or not its targets can take a request now.
-func (p *Proxy) servesSettled(service string) bool {
-	return slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool { return p.origins.Settled(service, s.Software) })
+// servesSettled reports whether a software version that may get new streams serves where the
+// request may be served, whether or not its targets can take a request now.
+func (p *Proxy) servesSettled(j *job) bool {
+	service := j.service.Name
+	return slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
+		return p.mayServe(j, s) && p.origins.Settled(service, s.Software)
+	})
 }
 
 // sameSoftware reports whether all targets have one software version, as on most days.
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -29,6 +30,9 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 	// Reach finds out whether a target of a service accepts connections.
 	Reach(ctx context.Context, service, target, address string) Reach
+	// CanRelay reports whether a host in one of the allowed regions may be asked to
+	// connect this one to targets.
+	CanRelay(allowed homes.Regions) bool
 }
 
 // CloseIdleConnections closes the connections to targets that no request uses.
@@ -46,6 +50,9 @@
 	return ReachOf(wire.CheckReachable(ctx, d.Dialer, address))
 }
 
+// CanRelay reports that no other host connects this one to targets.
+func (directPaths) CanRelay(homes.Regions) bool { return false }
+
 // ReachOf returns what the result of a connection to a target says.
 func ReachOf(err error) Reach {
 	var timeout net.Error
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/rates"
@@ -32,6 +33,9 @@
 	return func(p *Proxy) { p.distance = f }
 }
 
+// WithRegions sets the function that returns the region of a zone; empty for an unknown zone.
+func WithRegions(f func(zone string) string) Option { return func(p *Proxy) { p.region = f } }
+
 // WithHosts sets the function that returns the number of hosts that share the retry
 // budget.
 func WithHosts(f func() int) Option { return func(p *Proxy) { p.hosts = f } }
@@ -86,6 +90,7 @@
 	pool        *bound.Pool
 	allowance   retry.Allowance
 	distance    func(zone string) place.Distance
+	region      func(zone string) string
 	hosts       func() int
 	share       func() rates.Share
 	costs       place.Costs
@@ -127,8 +132,8 @@
 	p := &Proxy{
 		codec: c, fleet: f, log: zap.NewNop(), planner: noCachePlanner{}, weights: noWeightVersions{}, origins: noOrigins{}, pool: bound.NewPool(defaultPoolBytes),
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
-		distance:  func(string) place.Distance { return place.SameZone },
-		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
+		distance:  func(string) place.Distance { return place.SameZone }, region: func(string) string { return "" },
+		hosts: func() int { return 1 }, costs: place.DefaultCosts(),
 		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
@@ -203,7 +208,9 @@
 func (noCachePlanner) RecordFetch([]string, float64, time.Duration)       {}
 func (noCachePlanner) FetchMs(int) float64                                { return 0 }
 func (noCachePlanner) Plan(*Prompt, string, int, fleet.Target) *CachePlan { return nil }
-func (noCachePlanner) Namespace(string, int, *opconf.Account) string      { return "" }
+func (noCachePlanner) Namespace(string, int, *opconf.Account, homes.Regions) string {
+	return ""
+}
 
 // noWeightVersions is a WeightVersions for platforms without weight updates.
 type noWeightVersions struct{}
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/opconf"
 )
 
@@ -155,7 +156,8 @@
 	// Plan returns the cache plan of an attempt that is about to be sent.
 	Plan(p *Prompt, namespace string, version int, t fleet.Target) *CachePlan
 	// Namespace returns the cache namespace of an account under a weight version.
-	Namespace(model string, version int, account *opconf.Account) string
+	// that may be served in the allowed regions.
+	Namespace(model string, version int, account *opconf.Account, allowed homes.Regions) string
 }
 
 // CachedParts tells where the shared parts of one prompt are cached.
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -213,7 +213,7 @@
 	serving := p.fleet.Serving(j.service.Name)
 	targets = serving[:0]
 	for _, s := range serving {
-		if j.excluded[s.ID] || !j.binding.allows(s.Target) || p.weights.Loading(s.ID) || p.outdated(j, s) {
+		if j.excluded[s.ID] || !j.binding.allows(s.Target) || !p.mayServe(j, s) || p.weights.Loading(s.ID) || p.outdated(j, s) {
 			continue
 		}
 		if wait := p.sendWait(s); wait > 0 {
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gossip"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/pause"
@@ -162,7 +165,7 @@
 	h.targets = &targetWatcher{decoder: p, fleet: h.fleet, log: h.log, platformEra: h.platformEra}
 	h.proxy = proxy.New(
 		p.Codec(), h.fleet, proxy.WithLog(h.log), proxy.WithAllowance(s.retryAllowance()),
-		proxy.WithDistance(s.distance), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
+		proxy.WithDistance(s.distance), proxy.WithRegions(s.regionOf), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
 		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog), proxy.WithOrigins(h.origins), proxy.WithPaths(h.paths),
 		proxy.WithStaleLimits(s.staleLimits()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
 	)
@@ -319,7 +322,21 @@
 
 // configChanged updates the catalog and the stores to poll after a change of the
 // operator configuration.
-func (h *Host) configChanged(s *opconf.Config) { h.stores.setAddresses(h.catalog.SetStores(s)) }
+func (h *Host) configChanged(s *opconf.Config) {
+	h.stores.setAddresses(h.catalog.SetStores(s))
+	h.logConflicts(s)
+}
+
+// maxLoggedConflicts bounds the lines about conflicting regions of one configuration.
+const maxLoggedConflicts = 8
+
+// logConflicts logs which routes and accounts leave no region for their requests.
+func (h *Host) logConflicts(s *opconf.Config) {
+	conflicts := homes.Conflicts(s, slices.Collect(maps.Values(h.currentSettings().Zones)))
+	for _, c := range conflicts[:min(len(conflicts), maxLoggedConflicts)] {
+		h.log.Warn("allowed regions exclude each other; refusing such requests", zap.Uint64("site", s.Version), zap.Int("conflicts", len(conflicts)), zap.Error(c))
+	}
+}
 
 // operatorTableRead records that the operator's table was received up to a position.
 func (h *Host) operatorTableRead(p feed.Position) {
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/proxy"
 	"sesamehill.example/sesamehill/internal/tunnel"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -109,13 +110,13 @@
 func (p *pathFinder) dialThrough(ctx context.Context, target string) (net.Conn, error) {
 	err := errNoTunnel
 	unreachable := 0
-	for _, h := range p.candidates(target) {
+	for _, h := range p.candidates(target, homes.FromContext(ctx)) {
 		var conn net.Conn
 		if conn, err = p.tryHost(ctx, h.Peer, target); err == nil {
 			p.tunneled.Store(true)
 			p.host.fleet.RecordTunnel(target, true)
 			p.host.proxy.Metrics.Count("tunnel")
-			return conn, nil
+			return relayedConn{Conn: conn, region: p.host.currentSettings().regionOf(h.Zone)}, nil
 		}
 		if ctx.Err() != nil {
 			return nil, err // the request has ended, which says nothing about the host
@@ -172,10 +173,11 @@
 	return p.hasHost.Load()
 }
 
-// candidates returns the hosts to ask for a tunnel to a target: near ones first, as links
-// between regions are narrow, and among these in an order that spreads targets over them.
-func (p *pathFinder) candidates(target string) []observedRow {
-	hosts := p.unpaused()
+// candidates returns the hosts in the allowed regions to ask for a tunnel to a target: near
+// ones first, as links between regions are narrow, and among these in an order that spreads
+// targets over them.
+func (p *pathFinder) candidates(target string, allowed homes.Regions) []observedRow {
+	hosts := p.unpausedIn(allowed)
 	settings := p.host.currentSettings()
 	sortByRendezvous(hosts, target)
 	slices.SortStableFunc(hosts, func(a, b observedRow) int {
@@ -193,6 +195,31 @@
 	return slices.DeleteFunc(hosts, func(h observedRow) bool { return now < p.pausedUntil[h.Host] })
 }
 
+// unpausedIn returns those of the unpaused hosts that are in the allowed regions.
+func (p *pathFinder) unpausedIn(allowed homes.Regions) []observedRow {
+	settings := p.host.currentSettings()
+	return slices.DeleteFunc(p.unpaused(), func(h observedRow) bool { return !allowed.Allows(settings.regionOf(h.Zone)) })
+}
+
+// CanRelay reports whether a host in the allowed regions may be asked for tunnels.
+func (p *pathFinder) CanRelay(allowed homes.Regions) bool {
+	if !allowed.Restricted {
+		return p.available()
+	}
+	return len(p.unpausedIn(allowed)) > 0
+}
+
+// relayedConn is a connection through another host.
+type relayedConn struct {
+	net.Conn
+	region string
+}
+
+// RelayRegion returns the region of the other host.
+func (c relayedConn) RelayRegion() string { return c.region }
+
+var _ proxy.RelayedConn = relayedConn{}
+
 // connect connects to a target for another host. It goes through no third host.
 func (p *pathFinder) connect(ctx context.Context, host, target string) (net.Conn, error) {
 	if p.host.draining.Load() {
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -205,6 +205,9 @@
 	return max(s.weightsBound()-requestStartMargin, 0)
 }
 
+// regionOf returns the region of a zone; empty for an unknown zone.
+func (s Settings) regionOf(zone string) string { return s.Zones[zone] }
+
 // distance returns the distance class of a zone as seen from the host.
 func (s Settings) distance(zone string) place.Distance {
 	switch {
--- a/internal/wire/discard.go
+++ b/internal/wire/discard.go
@@ -40,10 +40,35 @@
 	if !ok {
 		return
 	}
-	_ = b.conn.Close() // the connection is discarded
 	if c, ok := b.conn.(*closableConn); ok {
-		c.discarded.Store(true)
+		c.discard()
+		return
+	}
+	_ = b.conn.Close() // the connection is discarded
+}
+
+// discard closes the connection, so that nothing can be sent on it.
+func (c *closableConn) discard() {
+	_ = c.Close() // the connection is discarded
+	c.discarded.Store(true)
+}
+
+// connCheckKey is the key of a check of connections in a context.
+type connCheckKey struct{}
+
+// WithConnCheck returns a context for requests that may only be sent on connections which
+// pass a check. Kept connections that do not pass are closed before anything is sent on them.
+// The check gets connections as the function of WithDialContext returned them.
+func WithConnCheck(ctx context.Context, check func(c net.Conn) bool) context.Context {
+	return context.WithValue(ctx, connCheckKey{}, check)
+}
+
+// connCheckOf returns the check of connections for a request.
+func connCheckOf(ctx context.Context) func(c net.Conn) bool {
+	if check, ok := ctx.Value(connCheckKey{}).(func(c net.Conn) bool); ok {
+		return check
 	}
+	return func(net.Conn) bool { return true }
 }
 
 // rewind returns the body of a request that failed with cause before any byte was sent.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -162,8 +162,12 @@
 // send sends a request once. It returns no connection if the request got none.
 func (t *transport) send(r *http.Request, body io.ReadCloser) (*http.Response, *usedConn, error) {
 	var used atomic.Pointer[usedConn]
+	check := connCheckOf(r.Context())
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*closableConn)
+		if ok && !check(c.Conn) {
+			c.discard()
+		}
 		used.Store(&usedConn{conn: i.Conn, discarded: ok && c.discarded.Load()})
 	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
