Send nothing to evacuated zones

Cause: rows of the operator that evacuate a zone were ignored, so that its targets went on getting requests. Change: package evac holds the evacuated zones as of a position in the operator's table; the newer position wins, whichever way it comes: a list, changes, or the datagrams of other hosts, which carry the view once any zone was evacuated. Targets of such zones are passed over at each choice and checked again before a request is sent; waiting requests are placed again at once; hosts open no tunnels there. Open streams run to their end. Where only such zones are left, requests are refused at once.

--- a/internal/gossip/check.go
+++ b/internal/gossip/check.go
@@ -61,6 +61,9 @@
 			}
 		}
 	}
+	if m.Evacuated != nil && !m.Evacuated.Check() {
+		return "the evacuated zones are out of range"
+	}
 	if problem := m.originsOutOfRange(); problem != "" {
 		return problem
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -34,6 +34,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/crash"
+	"sesamehill.example/sesamehill/internal/evac"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/relay"
@@ -89,6 +90,9 @@
 	Software origin.Sightings `cbor:"21,keyasint,omitempty"`
 	// Begun are streams that began at the sender of a Streams message.
 	Begun []origin.Begun `cbor:"22,keyasint,omitempty"`
+	// Evacuated are the zones that the sender knows as evacuated; nil as long as there were
+	// none.
+	Evacuated *evac.View `cbor:"24,keyasint,omitempty"`
 	// Config is the version of the operator configuration in force at the sender; zero if
 	// it has none.
 	Config uint64 `cbor:"20,keyasint,omitempty"`
@@ -186,6 +190,14 @@
 	RecordConfigVersion(peer string, version uint64)
 }
 
+// Evacuations holds the zones that the operator has evacuated.
+type Evacuations interface {
+	// EvacuationView returns what this host knows; nil as long as no zone was evacuated.
+	EvacuationView() *evac.View
+	// RecordEvacuationView records what another host knows.
+	RecordEvacuationView(host string, v evac.View)
+}
+
 // Origins holds the software versions that hosts have seen and the streams that began at
 // them.
 type Origins interface {
@@ -215,6 +227,7 @@
 	clock     *table.Clock
 	configs   Configs
 	origins   Origins
+	evacuated Evacuations
 	log       *zap.Logger
 
 	mu sync.Mutex
@@ -255,6 +268,9 @@
 // WithConfigs sets the record of the versions of the operator configuration at hosts.
 func WithConfigs(c Configs) Option { return func(e *Exchange) { e.configs = c } }
 
+// WithEvacuations sets the record of evacuated zones.
+func WithEvacuations(v Evacuations) Option { return func(e *Exchange) { e.evacuated = v } }
+
 // WithOrigins sets the record of the software versions that began streams.
 func WithOrigins(o Origins) Option { return func(e *Exchange) { e.origins = o } }
 
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -169,6 +169,9 @@
 	e.fleet.Suspect(m.Host, m.Unreachable)
 	e.fleet.RecordRemoteRateLimits(m.RateLimits)
 	e.fleet.RecordRemoteRefusalLimits(m.RefusalLimits)
+	if m.Evacuated != nil && e.evacuated != nil {
+		e.evacuated.RecordEvacuationView(m.Host, *m.Evacuated)
+	}
 	if m.Registered && e.roster != nil {
 		e.roster.RecordRegisteredPeer(delay)
 	}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -152,6 +152,9 @@
 	if e.origins != nil {
 		m.Software = e.origins.Sightings()
 	}
+	if e.evacuated != nil {
+		m.Evacuated = e.evacuated.EvacuationView()
+	}
 	if e.configs != nil {
 		m.Config = e.configs.ConfigVersion()
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -149,6 +149,10 @@
 
 // roundTrip makes the call and decides what its failure means.
 func (p *Proxy) roundTrip(ctx context.Context, cancel context.CancelCauseFunc, j *job, c reservation) (attemptResult, fleet.Outcome) {
+	if p.evacuated(c.Zone) {
+		p.Metrics.Count("withheld by evacuation")
+		return retryable{reason: "the zone of the target was evacuated before the request was sent"}, fleet.ClientDisconnected
+	}
 	ctx = withRestriction(ctx, j.allowed)
 	s := p.newDispatch(j, c)
 	req, err := p.codec.NewRequest(ctx, s)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,6 +36,10 @@
 // WithRegions sets the function that returns the region of a zone; empty for an unknown zone.
 func WithRegions(f func(zone string) string) Option { return func(p *Proxy) { p.region = f } }
 
+// WithEvacuated sets the function that reports whether nothing may be sent to the targets of
+// a zone.
+func WithEvacuated(f func(zone string) bool) Option { return func(p *Proxy) { p.evacuated = f } }
+
 // WithHosts sets the function that returns the number of hosts that share the retry
 // budget.
 func WithHosts(f func() int) Option { return func(p *Proxy) { p.hosts = f } }
@@ -91,6 +95,7 @@
 	allowance   retry.Allowance
 	distance    func(zone string) place.Distance
 	region      func(zone string) string
+	evacuated   func(zone string) bool
 	hosts       func() int
 	share       func() rates.Share
 	costs       place.Costs
@@ -133,7 +138,8 @@
 		codec: c, fleet: f, log: zap.NewNop(), planner: noCachePlanner{}, weights: noWeightVersions{}, origins: noOrigins{}, pool: bound.NewPool(defaultPoolBytes),
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone }, region: func(string) string { return "" },
-		hosts: func() int { return 1 }, costs: place.DefaultCosts(),
+		evacuated: func(string) bool { return false },
+		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
 		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -30,11 +30,14 @@
 	}
 }
 
-// mayServe reports whether a target is where the request may be served. Of a request with
+// mayServe reports whether a target is where the request may be served, and its zone is not
+// evacuated. Of a request with
 // allowed regions, it also reports whether the target can be reached, through hosts that may
 // carry the request: no other region can replace these targets while all of them are down.
 func (p *Proxy) mayServe(j *job, s fleet.Status) bool {
 	switch {
+	case p.evacuated(s.Zone):
+		return false
 	case !j.allowed.Restricted:
 		return true
 	case s.Down || !j.allowed.Allows(p.region(s.Zone)):
@@ -49,15 +52,23 @@
 	p.refuse(j, "the allowed regions of the route and of the account exclude each other", excludedRetryAfter)
 }
 
-// restrictedReason says that the allowed regions of a request leave none of the targets;
-// empty if they do not.
+// restrictedReason says that the allowed regions of a request, or evacuated zones, leave none
+// of the targets; empty if they do not.
 func (p *Proxy) restrictedReason(j *job) string {
 	serving := p.fleet.Serving(j.service.Name)
-	if !j.allowed.Restricted || slices.ContainsFunc(serving, func(s fleet.Status) bool { return p.mayServe(j, s) && !j.excluded[s.ID] }) {
+	if slices.ContainsFunc(serving, func(s fleet.Status) bool { return p.mayServe(j, s) && !j.excluded[s.ID] }) {
 		return ""
 	}
-	p.Metrics.Count("refused by region")
-	return "no target in the allowed regions (" + j.allowed.String() + ") can take the request"
+	evacuated := slices.ContainsFunc(serving, func(s fleet.Status) bool { return p.evacuated(s.Zone) && j.allowed.Allows(p.region(s.Zone)) })
+	switch {
+	case evacuated:
+		p.Metrics.Count("refused by evacuation")
+		return "the zones of the remaining targets are evacuated"
+	case j.allowed.Restricted:
+		p.Metrics.Count("refused by region")
+		return "no target in the allowed regions (" + j.allowed.String() + ") can take the request"
+	}
+	return ""
 }
 
 // withRestriction returns the context of an attempt. Connections for it lead only through
--- a/internal/server/configs_test.go
+++ b/internal/server/configs_test.go
@@ -22,6 +22,8 @@
 
 func (configDecoder) ConfigKey() string { return "config" }
 
+func (configDecoder) EvacuatedZone(string) (string, bool) { return "", false }
+
 func (configDecoder) Config(value []byte) (*opconf.Config, error) {
 	c := opconf.Config{}
 	if _, err := fmt.Sscan(string(value), &c.Version); err != nil {
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -14,6 +14,7 @@
 
 	"sesamehill.example/sesamehill/internal/bound"
 	"sesamehill.example/sesamehill/internal/crash"
+	"sesamehill.example/sesamehill/internal/evac"
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/gossip"
@@ -120,6 +121,7 @@
 	members      *members
 	crashes      *crash.Tracker
 	origins      *streamOrigins
+	evacuations  *evac.Log
 	paths        *pathFinder
 	tunnels      *tunnel.Server
 	clock        *table.Clock
@@ -152,6 +154,7 @@
 	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithTunnels(h.paths.available))
 	h.crashes = crash.New(crash.WithOnVerdict(h.logPartVerdict))
 	h.origins = newStreamOrigins(h)
+	h.evacuations = evac.New()
 	h.catalog = kvcat.NewCatalog(s.Zones, kvcat.WithLog(h.log), kvcat.WithPermissions(h.allowKVTransfer))
 	h.stores = newStoreWatcher(h)
 	h.clock = p.Clock()
@@ -165,7 +168,7 @@
 	h.targets = &targetWatcher{decoder: p, fleet: h.fleet, log: h.log, platformEra: h.platformEra}
 	h.proxy = proxy.New(
 		p.Codec(), h.fleet, proxy.WithLog(h.log), proxy.WithAllowance(s.retryAllowance()),
-		proxy.WithDistance(s.distance), proxy.WithRegions(s.regionOf), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
+		proxy.WithDistance(s.distance), proxy.WithRegions(s.regionOf), proxy.WithEvacuated(h.evacuated), proxy.WithCrashTracker(h.crashes), proxy.WithHosts(h.hostCount), proxy.WithShare(h.share),
 		proxy.WithWeights(h), proxy.WithCachePlanner(h.catalog), proxy.WithOrigins(h.origins), proxy.WithPaths(h.paths),
 		proxy.WithStaleLimits(s.staleLimits()), proxy.WithPolicy(s.placementPolicy()), proxy.WithPool(h.pool),
 	)
@@ -207,6 +210,7 @@
 		h.settings.Peer, h.settings.Name, h.fleet, h.members.topology, gossip.WithLog(h.log),
 		gossip.WithOnMessage(h.proxy.DispatchSoon), gossip.WithWeights(h), gossip.WithRoster(h.members), gossip.WithTables(h.tables),
 		gossip.WithCrashes(h.crashes), gossip.WithPlatformClock(h.clock), gossip.WithConfigs(h), gossip.WithOrigins(h.origins),
+		gossip.WithEvacuations(h),
 	).Run)
 	h.leasedTask.addComponents(t)
 	return errors.Trace(t.Run(componentCtx))
@@ -340,6 +344,7 @@
 
 // operatorTableRead records that the operator's table was received up to a position.
 func (h *Host) operatorTableRead(p feed.Position) {
+	h.recordEvacuations(p)
 	h.config.recordRead(h.tables.CurrentAt(h.platform.OperatorTable(), p))
 }
 
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -232,6 +232,8 @@
 	switch {
 	case !ok || t.Leaving:
 		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: "the target is not listed or leaves"}
+	case p.host.evacuated(t.Zone):
+		return nil, &tunnel.ConnectError{Status: http.StatusBadGateway, Problem: "the zone of the target is evacuated"}
 	case t.Tunneled || p.host.fleet.Isolated(t.Service):
 		return nil, &tunnel.ConnectError{Status: http.StatusServiceUnavailable, Problem: "the host itself has no path to the targets"}
 	case t.Down:
--- a/internal/server/watchers.go
+++ b/internal/server/watchers.go
@@ -25,6 +25,9 @@
 	Target(id string, value []byte) (fleet.Target, error)
 	// Weights returns false for rows that do not announce weights.
 	Weights(key string, value []byte) (model string, version int, ok bool)
+	// EvacuatedZone returns the zone that a row evacuates while it exists, by the key of the
+	// row; false for other rows.
+	EvacuatedZone(key string) (zone string, ok bool)
 	// ConfigKey returns the key of the row with the operator configuration.
 	ConfigKey() string
 }
@@ -50,6 +53,8 @@
 	// onVersion is called after what is known of a weight version has changed.
 	onVersion func()
 	clock     *table.Clock
+	// unread are the evacuations in the rows received since the last call of recordEvacuations.
+	unread unreadEvacuations
 	// currentAt is the boot time at which the rows received so far were last known to be
 	// all there are; zero before the first read.
 	currentAt atomic.Int64
@@ -59,11 +64,18 @@
 }
 
 // Listed applies all rows of the table.
-func (c *configWatcher) Listed(rows []feed.Row) { c.Changed(rows) }
+func (c *configWatcher) Listed(rows []feed.Row) {
+	c.unread = unreadEvacuations{listed: true}
+	c.Changed(rows)
+}
 
 // Changed applies the rows that have changed.
 func (c *configWatcher) Changed(rows []feed.Row) {
 	applyEach(c.log, "operator", rows, func(r feed.Row) {
+		if zone, ok := c.decoder.EvacuatedZone(r.Key); ok {
+			c.unread.add(zone, r)
+			return
+		}
 		if r.Removed {
 			return
 		}
--- a/internal/server/watchers_test.go
+++ b/internal/server/watchers_test.go
@@ -19,6 +19,8 @@
 // weightRows decodes every row as version 3 of model m.
 type weightRows struct{ Decoder }
 
+func (weightRows) EvacuatedZone(string) (string, bool) { return "", false }
+
 func (weightRows) ConfigKey() string { return "config" }
 
 func (weightRows) Weights(string, []byte) (string, int, bool) { return "m", 3, true }
