Keep the rate of cold targets over all hosts

Cause: a target that has just started or lost its state takes a small rate of requests from all hosts together, and more of them end it; the rate was decoded and used nowhere. Limits that targets name were divided into equal parts, which at many hosts are of use to nobody, and a host that did not know the others yet took an eighth. Change: fleet holds until when a target is cold, by its entry, its answers and a health check when it can be reached again. rates ranks the live hosts for each target, near ones first; the first four use 0.7 of a limit, the others the rest. Shares follow from the rank alone, so that they add up whatever hosts know of the demand.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,6 +78,8 @@
 	accepted  int
 	refusedAt time.Duration
 	tunnel    tunnelState
+	// coldUntil is the boot time until which the target is cold.
+	coldUntil time.Duration
 }
 
 // Option changes a default of New.
@@ -98,6 +100,10 @@
 	onChange func(Change)
 	// canTunnel reports whether another host may connect this one to targets.
 	canTunnel func() bool
+	// coldness returns how long the targets of a service are cold after their start.
+	coldness func(service string) Coldness
+	// listed is set once the list was read: targets that are new later have just started.
+	listed bool
 	// isolation caches whether this host is cut off from a service.
 	isolation map[string]isolation
 	targets   map[string]*state
@@ -113,7 +119,7 @@
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
+	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, coldness: func(string) Coldness { return Coldness{} }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
 	for _, o := range opts {
 		o(f)
 	}
@@ -179,6 +185,9 @@
 		f.onChange(Change{Target: t, Event: "leaving"})
 	}
 	old.Target, old.dropAt = &t, 0
+	if t.WarmupLeft > 0 {
+		f.setCold(old, t.WarmupLeft)
+	}
 }
 
 // Remove drops a target that is no longer listed.
@@ -241,6 +250,7 @@
 		}
 		f.put(t)
 	}
+	f.listed = true
 	f.departed.retainListed(present)
 	for id := range f.targets {
 		if !present[id] {
@@ -378,10 +388,14 @@
 		s.remote = s.remote.Add(r.byTarget[t.ID])
 	}
 	f.targets[t.ID] = s
+	f.setCold(s, f.coldTimeAfterStart(t))
 }
 
 func (f *Fleet) status(s *state, now time.Duration) Status {
 	st := s.status(now)
+	if cold := f.coldLimit(s, now); cold < st.RateLimit {
+		st.RateLimit, st.Cold = cold, true
+	}
 	st.OthersInFlight = f.othersInFlight(s, now)
 	if st.Tunneled = f.tunneled(s, now); st.Tunneled {
 		st.Down = false
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -15,7 +15,7 @@
 	// StartedAtMs is the start of the target in Unix milliseconds.
 	StartedAtMs int64 `json:"born"`
 	// WarmupLeft is how much longer the target stays slow after its start.
-	WarmupLeft time.Duration `json:"cold"`
+	WarmupLeft time.Duration `json:"warmup"`
 	// Versions are the weight versions by model.
 	Versions map[string]int `json:"versions"`
 }
@@ -69,6 +69,8 @@
 	// RateLimit is the number of requests a second that the target takes from all hosts
 	// together; Unlimited if it names none. The log names its changes.
 	RateLimit float64 `json:"-"`
+	// Cold is set while the target is cold and RateLimit bounds what it takes then.
+	Cold bool `json:"cold"`
 	// RefusalLimit is the number of requests that the target can refuse in a second without
 	// crashing; Unlimited if it names no such limit.
 	RefusalLimit float64 `json:"-"`
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -396,6 +396,9 @@
 	if r.Sealed || r.RefusalLimit != fleet.Unlimited {
 		p.fleet.RecordRefusalLimit(c.ID, r.RefusalLimit)
 	}
+	if r.ColdFor > 0 && !r.WrongTarget {
+		p.fleet.RecordCold(c.ID, c.StartedAtMs, r.ColdFor)
+	}
 	if r.Pause > 0 && !r.WrongTarget {
 		p.Metrics.Count("paused")
 		p.fleet.RecordPause(c.ID, r.Pause)
@@ -404,7 +407,7 @@
 		p.fleet.RecordLeaving(c.ID, c.StartedAtMs)
 	}
 	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
-		p.fleet.RecordRefusal(c.ID, p.refusalPause(r.RefusalLimit))
+		p.fleet.RecordRefusal(c.ID, refusalPause(r.RefusalLimit, p.hosts()))
 	}
 	if r.Version > 0 && s.Call.Prompt != nil {
 		p.fleet.RecordVersion(c.ID, s.Call.Prompt.Model, r.Version)
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -59,7 +59,7 @@
 			p.Metrics.Counters.Add("read "+string(cause), int64(tokens))
 		}
 	}
-	p.takeRate(s.ID)
+	p.takeRate(s)
 	chosen.attempt = p.fleet.Begin(s.ID, load)
 	p.logPlacement(j, chosen, c, candidates)
 	return chosen, true
@@ -161,7 +161,7 @@
 		fields = append(fields, zap.Bool("tunneled", true))
 	}
 	if c.RateLimit != fleet.Unlimited {
-		fields = append(fields, zap.Float64("limit", c.RateLimit))
+		fields = append(fields, zap.Float64("limit", c.RateLimit), zap.Bool("cold", c.Cold))
 	}
 	if c.plan != nil {
 		w := promptWork(j.Prompt)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,9 +36,8 @@
 // budget.
 func WithHosts(f func() int) Option { return func(p *Proxy) { p.hosts = f } }
 
-// WithShare sets the position of this host among those that share the rate limits of
-// targets.
-func WithShare(f func() rates.Share) Option { return func(p *Proxy) { p.share = f } }
+// WithShare sets the function that returns this host's share of the limits of a target.
+func WithShare(f func(t *fleet.Target) rates.Share) Option { return func(p *Proxy) { p.share = f } }
 
 // WithCachePlanner sets the policy for fetching and saving KV cache entries.
 func WithCachePlanner(k CachePlanner) Option { return func(p *Proxy) { p.planner = k } }
@@ -87,7 +86,7 @@
 	allowance   retry.Allowance
 	distance    func(zone string) place.Distance
 	hosts       func() int
-	share       func() rates.Share
+	share       func(t *fleet.Target) rates.Share
 	costs       place.Costs
 	placement   atomic.Pointer[place.Rule]
 	staleLimits atomic.Pointer[StaleLimits]
@@ -112,9 +111,9 @@
 	// It also guards waitQueues, the requests that wait for capacity, by service.
 	placementMu sync.Mutex
 	waitQueues  map[string][]*waiter
-	// buckets hold what this host may still send to targets that name a rate limit, by
-	// target. placementMu guards them too.
-	buckets map[string]*rates.Bucket
+	// buckets hold what this host may still send to targets with a limit, by target.
+	// placementMu guards them too.
+	buckets map[string]*limitShare
 	// dispatchPending is set while a dispatch of the waiting requests is scheduled.
 	dispatchPending atomic.Bool
 	// limitPollPending is set while a dispatch is scheduled for requests that wait for
@@ -129,7 +128,7 @@
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone },
 		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
-		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
+		share: func(*fleet.Target) rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*limitShare{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
 	}
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -125,6 +125,8 @@
 	// Pause is the time for which the target wants no requests of this host; zero if it
 	// asks for none.
 	Pause time.Duration
+	// ColdFor is how long the target states that it stays cold; zero if it is not.
+	ColdFor time.Duration
 	// Leaving is set if the target states that it leaves.
 	Leaving bool
 	// Version is the weight version that ran the request; zero if the target does
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -74,6 +74,8 @@
 type TargetClient interface {
 	roll.Engines
 	kvcat.Reader
+	// ColdFor asks a target by its health check how long it stays cold.
+	ColdFor(ctx context.Context, id, address, path string) (time.Duration, error)
 	// Free asks a store with the given epoch to free entries. The store frees nothing
 	// after the time until, in milliseconds on its own clock.
 	Free(ctx context.Context, address string, epoch uint64, until int64, keys []kvcat.Key) error
@@ -146,7 +148,7 @@
 	}
 	h.paths = newPathFinder(h)
 	h.tunnels = tunnel.NewServer(h.paths.connect)
-	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithTunnels(h.paths.available))
+	h.fleet = fleet.New(fleet.WithOnChange(h.targetChanged), fleet.WithTunnels(h.paths.available), fleet.WithColdness(h.coldness))
 	h.crashes = crash.New(crash.WithOnVerdict(h.logPartVerdict))
 	h.origins = newStreamOrigins(h)
 	h.catalog = kvcat.NewCatalog(s.Zones, kvcat.WithLog(h.log), kvcat.WithPermissions(h.allowKVTransfer))
@@ -340,7 +342,18 @@
 
 func (h *Host) hostCount() int { return h.members.hostCount() }
 
-func (h *Host) share() rates.Share { return h.members.share() }
+func (h *Host) share(t *fleet.Target) rates.Share { return h.members.share(t) }
+
+// coldness returns how long targets of a service are cold, as the operator configuration
+// says.
+func (h *Host) coldness(service string) fleet.Coldness {
+	if c := h.proxy.Config(); c != nil {
+		if s, ok := c.Service(service); ok {
+			return fleet.Coldness{Time: s.ColdTime, PerSecond: s.ColdRate}
+		}
+	}
+	return fleet.Coldness{}
+}
 
 // IssuesOrders reports whether this host holds the lease and gives orders to engines.
 func (h *Host) IssuesOrders() bool { return h.leasedTask.holdsLease() }
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/rates"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -148,6 +148,8 @@
 	// writtenAt is the boot time at which the last successful write of this host's row
 	// started, and rowLifetime how long the host counts as alive since then.
 	writtenAt, rowLifetime time.Duration
+	// firstWrittenAt is the boot time at which this host's first row was written.
+	firstWrittenAt time.Duration
 	// confirmedPeerAt is the boot time at which the last event from a host that can write
 	// its row was sent.
 	confirmedPeerAt time.Duration
@@ -241,6 +243,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.firstWrittenAt == 0 {
+		m.firstWrittenAt = wire.BootTime()
+	}
 	m.writtenAt, m.rowLifetime = startedAt, row.lifetime()
 	return true
 }
@@ -448,17 +453,31 @@
 	return m.readAt != 0
 }
 
-// share returns the position of this host among those that share the limits of targets.
-// Before the hosts are known it is one of the assumed number.
-func (m *members) share() rates.Share {
+// settleTime is the time after its first row from which the other hosts count a host: they
+// have read its row by then.
+const settleTime = 2 * rowsPollInterval
+
+// share returns this host's share of the limits of a target. It is unsettled while other
+// hosts may not count this one. Before the hosts are known, it has no share.
+func (m *members) share(t *fleet.Target) rates.Share {
+	settled := m.Registered()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.readAt == 0 {
-		return rates.Share{Hosts: assumedHosts}
+		return rates.Share{}
+	}
+	own := m.host.settings
+	self := rates.Host{Name: own.Name, Distance: own.distanceBetween(own.Zone, t.Zone)}
+	others := make([]rates.Host, 0, len(m.rows))
+	for _, hosts := range m.currentView().rankedByRegion {
+		for _, h := range hosts {
+			others = append(others, rates.Host{Name: h.Host, Distance: own.distanceBetween(h.Zone, t.Zone)})
+		}
+	}
+	return rates.Share{
+		Rank: rates.Rank(self, others, t.ID), Hosts: max(len(others), minAssumedHosts),
+		Unsettled: !settled || wire.BootTime()-m.firstWrittenAt < settleTime,
 	}
-	live := m.currentView().live
-	rank, _ := slices.BinarySearch(live, m.host.settings.Name)
-	return rates.Share{Rank: rank, Hosts: max(len(live), minAssumedHosts)}
 }
 
 // hostNames returns the names of the hosts that are alive.
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -18,6 +18,8 @@
 	probeInterval = 50 * time.Millisecond
 	// maxProbes is the largest number of concurrent probes.
 	maxProbes = 32
+	// healthTimeout bounds the health check of a target that may have become cold.
+	healthTimeout = 300 * time.Millisecond
 )
 
 // probeTargets connects to targets that are marked unreachable, until ctx is
@@ -62,9 +64,31 @@
 		return
 	}
 	h.proxy.Metrics.Count("probe")
+	if err == nil && h.fleet.CanBeCold(t.Service) {
+		h.recordColdness(ctx, t)
+	}
 	h.fleet.RecordProbe(t, err == nil)
 	if err == nil {
 		h.paths.restored()
 		h.proxy.DispatchSoon()
 	}
 }
+
+// recordColdness asks a target that can be reached again whether it is cold. It is taken for
+// cold if it does not say: it may have started again before its entry shows that.
+func (h *Host) recordColdness(ctx context.Context, t fleet.Target) {
+	service, ok := h.proxy.Config().Service(t.Service)
+	if !ok || service.HealthPath == "" {
+		h.fleet.AssumeCold(t.ID)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	h.proxy.Metrics.Count("health check")
+	left, err := h.platform.TargetClient().ColdFor(ctx, t.ID, t.Address, service.HealthPath)
+	if err != nil {
+		h.fleet.AssumeCold(t.ID)
+		return
+	}
+	h.fleet.RecordCold(t.ID, t.StartedAtMs, left)
+}
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -207,10 +207,20 @@
 
 // distance returns the distance class of a zone as seen from the host.
 func (s Settings) distance(zone string) place.Distance {
+	return distanceClass(s.Zone, s.Region, zone, s.Zones[zone])
+}
+
+// distanceBetween returns the distance class of two zones.
+func (s Settings) distanceBetween(from, to string) place.Distance {
+	return distanceClass(from, s.Zones[from], to, s.Zones[to])
+}
+
+// distanceClass returns the distance class of two zones in regions.
+func distanceClass(from, fromRegion, to, toRegion string) place.Distance {
 	switch {
-	case zone == s.Zone:
+	case from == to:
 		return place.SameZone
-	case s.Zones[zone] == s.Region:
+	case fromRegion == toRegion:
 		return place.SameRegion
 	}
 	return place.OtherRegion
