Measure the speed of targets in place of constants

Cause: placement priced prefill at 64 tokens a millisecond and plain calls at 8 ms whatever the targets are, bounded an engine's backlog in tokens, and ignored what load reports say of the present speed. Change: internal/speed measures the prefill of a service's engines by the times to first events, plain work by answers, how slow a target is now by its reports as far as their age allows, and how slow it is for long by its own attempts. place takes the backlog as a time; without measurements decisions are as before.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -35,6 +35,9 @@
 	FetchingMs float64
 	// NoQueue is set if no requests may queue at the target.
 	NoQueue bool
+	// Slowdown is how long work takes at the target, in multiples of the usual time of
+	// its service; zero counts as one.
+	Slowdown float64
 	// Risk is the share of recent attempts that failed.
 	Risk float64
 	// Down is set if the target refused a connection a short time ago.
@@ -74,25 +77,28 @@
 	// PlainCallMs the delay that it adds to another request.
 	CallMs      float64
 	PlainCallMs float64
-	// InterferenceMs is the cost of prefilling a thousand tokens for each call in
+	// PlainMs is the time of plain work. If it is known, a call in flight delays another
+	// request by its part of the slots in place of PlainCallMs.
+	PlainMs float64
+	// InterferenceShare is the cost of a millisecond of prefill for each call in
 	// flight, whose events are delayed meanwhile. NonPreferredMs is the cost of an
 	// engine other than the preferred one of the affinity key.
-	InterferenceMs float64
-	NonPreferredMs float64
+	InterferenceShare float64
+	NonPreferredMs    float64
 	// FailureMs is the cost of a certain failure, DownMs that of a target that
 	// refused connections, StaleMs that of older weights.
 	FailureMs float64
 	DownMs    float64
 	StaleMs   float64
-	// PrefillBacklogTokens is the limit of the tokens that a busy engine has to
-	// prefill, including the request. With more, a request would wait at the engine
-	// for longer than it should.
-	PrefillBacklogTokens int
+	// PrefillBacklogMs is the limit of the prefill that a busy engine has before it,
+	// including the request. With more, a request would wait at the engine for longer
+	// than it should.
+	PrefillBacklogMs float64
 	// PatienceMs is how long a request waits until each further millisecond raises
-	// this limit by PatienceTokens, so that small requests cannot overtake a large
-	// one forever.
-	PatienceMs     float64
-	PatienceTokens float64
+	// this limit by PatienceShare, so that small requests cannot overtake a large one
+	// forever.
+	PatienceMs    float64
+	PatienceShare float64
 	// Choices is the number of engines that are evaluated for a request at first.
 	// If none has capacity, ChoicesGrowth times as many are evaluated. Zero stands
 	// for all.
@@ -105,14 +111,14 @@
 	ExtraCalls int
 }
 
-// DefaultCosts returns the cost model for engines that prefill about 64 tokens per
-// millisecond.
+// DefaultCosts returns the cost model for services whose speed is not measured. It suits
+// engines that prefill about 64 tokens per millisecond.
 func DefaultCosts() Costs {
 	return Costs{
 		RoundTripMs: [3]float64{1, 4, 42}, PrefillMs: 1.0 / 64, RecomputeMs: 1.0 / 30,
-		CallMs: 3, PlainCallMs: 8, InterferenceMs: 1, NonPreferredMs: 60,
+		CallMs: 3, PlainCallMs: 8, InterferenceShare: 64.0 / 1000, NonPreferredMs: 60,
 		FailureMs: 1500, DownMs: 20000, StaleMs: 120,
-		PrefillBacklogTokens: 12000, PatienceMs: 1000, PatienceTokens: 40,
+		PrefillBacklogMs: 187.5, PatienceMs: 1000, PatienceShare: 0.625,
 		ChoicesGrowth: 4, MemoryShare: 0.95, ExtraCalls: 3,
 	}
 }
@@ -149,6 +155,16 @@
 func (Full) choice()        {}
 func (NoCandidate) choice() {}
 
+// WithSpeed returns the cost model for a service whose targets prefill a token and do plain
+// work in a measured time. Zero stands for a time that is not known.
+func (k Costs) WithSpeed(prefillMs, plainMs float64) Costs {
+	if prefillMs > 0 {
+		k.PrefillMs = prefillMs
+	}
+	k.PlainMs = plainMs
+	return k
+}
+
 // ChooseEngine chooses the engine of a request with a prompt. With Choices set, it
 // evaluates only the engines that rank first for the affinity key and those where
 // parts of the prompt are resident. Until the next update, all hosts see the same
@@ -159,8 +175,10 @@
 	preferred := preferredOf(cs, scores)
 	evaluate := func(i int, c Candidate) (float64, bool) {
 		missing := w.missing(c)
-		cost := k.base(c) + k.CallMs*float64(c.Calls) + float64(c.Unread)*k.PrefillMs + c.FetchingMs + k.prompt(w, c)
-		cost += k.InterferenceMs * float64(c.Calls) * float64(missing) / 1000
+		cost := k.base(c) + k.work(w, c, missing) + c.FetchingMs
+		if c.Resident < c.Stored {
+			cost += c.FetchMs
+		}
 		if i != preferred {
 			cost += k.NonPreferredMs
 		}
@@ -195,7 +213,7 @@
 // ChooseTarget chooses the target of a request without a prompt.
 func ChooseTarget(cs []Candidate, k Costs) Choice {
 	return pick(cs, func(_ int, c Candidate) (float64, bool) {
-		cost := k.base(c) + k.PlainCallMs*float64(c.Calls)
+		cost := k.base(c) + k.plainCall(c)*float64(c.Calls)*c.slowdown()
 		extra := k.ExtraCalls
 		if c.NoQueue {
 			extra = 0
@@ -204,6 +222,15 @@
 	})
 }
 
+// plainCall returns the delay that a call in flight at a target adds to a request without
+// a prompt.
+func (k Costs) plainCall(c Candidate) float64 {
+	if k.PlainMs <= 0 || c.Slots <= 0 {
+		return k.PlainCallMs
+	}
+	return k.PlainMs / float64(c.Slots)
+}
+
 // rank returns the rank of each candidate: those that are up come before the
 // others, then the higher score comes first.
 func rank(cs []Candidate, scores []uint64) []int {
@@ -264,8 +291,16 @@
 	case float64(c.Tokens+w.Shared+w.Own) > k.MemoryShare*float64(c.Room):
 		return false
 	}
-	limit := k.PrefillBacklogTokens + int(max(w.WaitedMs-k.PatienceMs, 0)*k.PatienceTokens)
-	return c.Unread == 0 || c.Unread+missing <= limit
+	limit := k.PrefillBacklogMs + max(w.WaitedMs-k.PatienceMs, 0)*k.PatienceShare
+	return c.Unread == 0 || float64(c.Unread+missing)*k.PrefillMs*c.slowdown() <= limit
+}
+
+// slowdown returns how long work takes at a target, in multiples of the usual time.
+func (c Candidate) slowdown() float64 {
+	if c.Slowdown <= 0 {
+		return 1
+	}
+	return c.Slowdown
 }
 
 // Preferred returns the index of the engine that every host prefers for an affinity
@@ -340,14 +375,13 @@
 	return cost
 }
 
-// prompt is the time to bring the prompt into the memory of the engine, plus the
-// cost that the recomputation of shared parts causes to others.
-func (k Costs) prompt(w Work, c Candidate) float64 {
-	cached := min(max(c.Resident, c.Stored), w.Shared)
-	missing := float64(w.Shared - cached)
-	cost := float64(w.Own)*k.PrefillMs + missing*(k.PrefillMs+k.RecomputeMs)
-	if c.Resident < c.Stored {
-		cost += c.FetchMs
-	}
-	return cost
+// work is the time that the engine needs until the first event: for the calls in flight,
+// the prompts before this one and the missing tokens of this one, whose prefill delays the
+// events of the calls. The recomputation of shared parts costs more, as it does not help
+// those who have them.
+func (k Costs) work(w Work, c Candidate, missing int) float64 {
+	prefill := float64(missing) * k.PrefillMs
+	busy := k.CallMs*float64(c.Calls) + float64(c.Unread)*k.PrefillMs + prefill + k.InterferenceShare*prefill*float64(c.Calls)
+	recomputed := w.Shared - min(max(c.Resident, c.Stored), w.Shared)
+	return busy*c.slowdown() + float64(recomputed)*k.RecomputeMs
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -25,6 +25,8 @@
 	Work       *place.Work
 	Candidates []place.Candidate
 	Want       string
+	// PrefillMs and PlainMs are the measured times of the service; zero if it is not measured.
+	PrefillMs, PlainMs float64
 }
 
 // Guards against placement decisions that scored worse in a load test. Each case is
@@ -41,10 +43,11 @@
 	for _, s := range scripts.Decision {
 		It(s.Name, func() {
 			var choice place.Choice
+			costs := place.DefaultCosts().WithSpeed(s.PrefillMs, s.PlainMs)
 			if s.Work != nil {
-				choice = place.ChooseEngine(*s.Work, s.Candidates, place.DefaultCosts())
+				choice = place.ChooseEngine(*s.Work, s.Candidates, costs)
 			} else {
-				choice = place.ChooseTarget(s.Candidates, place.DefaultCosts())
+				choice = place.ChooseTarget(s.Candidates, costs)
 			}
 			got := ""
 			switch c := choice.(type) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -330,7 +330,7 @@
 		}
 		return p.relay(ctx, j, c, r, resp)
 	}
-	return p.relayBuffered(ctx, j, r, resp)
+	return p.relayBuffered(ctx, j, c, r, resp)
 }
 
 // resumes reports whether a response may go on with a stream that the caller receives
@@ -389,6 +389,7 @@
 func (p *Proxy) recordReply(c reservation, s Dispatch, r Reply) {
 	if r.Load != nil {
 		p.fleet.RecordLoad(c.ID, *r.Load)
+		p.speeds.RecordReport(c.Service, c.ID, r.Load.Slowdown, wire.BootTime())
 	}
 	if r.Sealed || r.RateLimit != fleet.Unlimited {
 		p.fleet.RecordRateLimit(c.ID, r.RateLimit)
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -27,7 +27,8 @@
 	plan    *CachePlan
 	attempt *fleet.Attempt
 	// sent is the boot time of the reservation.
-	sent time.Duration
+	sent    time.Duration
+	measure measure
 }
 
 // reserve registers an attempt at a target and plans its use of the KV cache. It returns
@@ -59,6 +60,7 @@
 			p.Metrics.Counters.Add("read "+string(cause), int64(tokens))
 		}
 	}
+	chosen.measure = p.newMeasure(j, c, load.PrefillTokens)
 	p.takeRate(s)
 	chosen.attempt = p.fleet.Begin(s.ID, load)
 	p.logPlacement(j, chosen, c, candidates)
@@ -84,6 +86,7 @@
 	c := place.Candidate{
 		ID: s.ID, Distance: p.distance(s.Zone), Calls: total.Calls, Slots: slots, NoQueue: noQueue, Tokens: total.Tokens,
 		Unread: total.PrefillTokens, FetchingMs: p.planner.FetchMs(total.FetchTokens), Risk: s.FailureRate, Down: s.Down,
+		Slowdown: p.slowdown(j, s.ID, wire.BootTime()),
 	}
 	if j.Prompt == nil {
 		return c
@@ -149,11 +152,12 @@
 	if !p.log.Core().Enabled(zap.InfoLevel) {
 		return
 	}
-	fields := []zap.Field{
+	fields := append(
+		c.measure.fields(j.costs),
 		zap.String("target", c.ID), zap.Int("of", candidates), zap.Int("attempt", j.deliveries+1),
 		zap.Int("calls", k.Calls), zap.Int("tokens", k.Tokens), zap.Int("unread", k.Unread), zap.Float64("fetching", k.FetchingMs), zap.Float64("fetchms", k.FetchMs), zap.Float64("risk", k.Risk),
 		zap.Uint64("site", j.config.Version), zap.Int64("left", (j.deadline - wire.BootTime()).Milliseconds()),
-	}
+	)
 	if j.route.Kind == opconf.Streaming {
 		fields = append(fields, zap.String("software", c.Software), zap.String("resumes", j.Resumes), zap.String("lastevent", j.order.lastID()))
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/rates"
 	"sesamehill.example/sesamehill/internal/retry"
+	"sesamehill.example/sesamehill/internal/speed"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -88,6 +89,7 @@
 	hosts       func() int
 	share       func(t *fleet.Target) rates.Share
 	costs       place.Costs
+	speeds      *speed.Tracker
 	placement   atomic.Pointer[place.Rule]
 	staleLimits atomic.Pointer[StaleLimits]
 
@@ -127,7 +129,7 @@
 		codec: c, fleet: f, log: zap.NewNop(), planner: noCachePlanner{}, weights: noWeightVersions{}, origins: noOrigins{}, pool: bound.NewPool(defaultPoolBytes),
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone },
-		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
+		hosts:     func() int { return 1 }, costs: place.DefaultCosts(), speeds: speed.New(),
 		share: func(*fleet.Target) rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*limitShare{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -47,6 +47,7 @@
 				j.firstEventAt.Store(int64(wire.BootTime()))
 				j.firstEventAfter = wire.BootTime() - j.Arrived
 				p.Metrics.Observe("first event", j.firstEventAfter)
+				p.recordFirstEvent(j, c)
 				if c.plan != nil {
 					p.planner.RecordFetch(c.plan.Fetch, c.plan.FetchMs, wire.BootTime()-c.sent)
 				}
@@ -139,7 +140,7 @@
 }
 
 // relayBuffered reads a whole response before the caller gets any of it.
-func (p *Proxy) relayBuffered(ctx context.Context, j *job, r Reply, resp *http.Response) (attemptResult, fleet.Outcome) {
+func (p *Proxy) relayBuffered(ctx context.Context, j *job, c reservation, r Reply, resp *http.Response) (attemptResult, fleet.Outcome) {
 	body, err := p.pool.Read(resp.Body, maxBufferedBytes)
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -149,6 +150,7 @@
 	}
 	defer body.Release()
 	p.Metrics.Observe("answer", wire.BootTime()-j.Arrived)
+	p.recordPlain(j, c)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body.Bytes)))
 	p.sendHeader(j, r)
 	if _, err := j.w.Write(body.Bytes); err != nil {
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -66,7 +66,7 @@
 
 // acquire reserves a target with capacity and waits for one if necessary.
 func (p *Proxy) acquire(ctx context.Context, j *job) waitOutcome {
-	j.costs = p.costs.For(p.hosts())
+	j.costs = p.costsOf(j)
 	w := &waiter{job: j, result: make(chan waitOutcome, 1), item: queue.Item{
 		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Priority: j.priority(), First: j.binding.bound,
 	}}
