--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -156,7 +156,7 @@
 		c.measure.fields(j.costs),
 		zap.String("target", c.ID), zap.Int("of", candidates), zap.Int("attempt", j.deliveries+1),
 		zap.Int("calls", k.Calls), zap.Int("tokens", k.Tokens), zap.Int("unread", k.Unread), zap.Float64("fetching", k.FetchingMs), zap.Float64("fetchms", k.FetchMs), zap.Float64("risk", k.Risk),
-		zap.Uint64("site", j.config.Version), zap.Int64("left", (j.deadline - wire.BootTime()).Milliseconds()),
+		zap.Uint64("site", j.config.Version), zap.Int64("left", (j.deadline-wire.BootTime()).Milliseconds()),
 	)
 	if j.route.Kind == opconf.Streaming {
 		fields = append(fields, zap.String("software", c.Software), zap.String("resumes", j.Resumes), zap.String("lastevent", j.order.lastID()))
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -94,7 +94,7 @@
 	if r.Noise == 0 {
 		return 1
 	}
-	span := uint64(now / (time.Duration(r.NoiseMs) * time.Millisecond)) //nolint:gosec // never negative
+	span := uint64(now / (time.Duration(r.NoiseMs) * time.Millisecond))  //nolint:gosec // never negative
 	if rand.New(rand.NewPCG(uint64(engine), span)).Float64() < r.Noise { //nolint:gosec // a replay is the same each time
 		return r.NoiseX
 	}
