--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -335,7 +335,7 @@
 		}
 		return p.relay(ctx, j, c, r, resp)
 	}
-	return p.relayBuffered(ctx, j, r, resp)
+	return p.relayBuffered(ctx, j, c, r, resp)
 }
 
 // resumes reports whether a response may go on with a stream that the caller receives
@@ -394,6 +394,7 @@
 func (p *Proxy) recordReply(c reservation, s Dispatch, r Reply) {
 	if r.Load != nil {
 		p.fleet.RecordLoad(c.ID, *r.Load)
+		p.speeds.RecordReport(c.Service, c.ID, r.Load.Slowdown, wire.BootTime())
 	}
 	if r.Sealed || r.RateLimit != fleet.Unlimited {
 		p.fleet.RecordRateLimit(c.ID, r.RateLimit)
@@ -401,6 +402,9 @@
 	if r.Sealed || r.RefusalLimit != fleet.Unlimited {
 		p.fleet.RecordRefusalLimit(c.ID, r.RefusalLimit)
 	}
+	if r.ColdFor > 0 && !r.WrongTarget {
+		p.fleet.RecordCold(c.ID, c.StartedAtMs, r.ColdFor)
+	}
 	if r.Pause > 0 && !r.WrongTarget {
 		p.Metrics.Count("paused")
 		p.fleet.RecordPause(c.ID, r.Pause)
@@ -409,7 +413,7 @@
 		p.fleet.RecordLeaving(c.ID, c.StartedAtMs)
 	}
 	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
-		p.fleet.RecordRefusal(c.ID, p.refusalPause(r.RefusalLimit))
+		p.fleet.RecordRefusal(c.ID, refusalPause(r.RefusalLimit, p.hosts()))
 	}
 	if r.Version > 0 && s.Call.Prompt != nil {
 		p.fleet.RecordVersion(c.ID, s.Call.Prompt.Model, r.Version)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/rates"
 	"sesamehill.example/sesamehill/internal/retry"
+	"sesamehill.example/sesamehill/internal/speed"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -44,9 +45,8 @@
 // budget.
 func WithHosts(f func() int) Option { return func(p *Proxy) { p.hosts = f } }
 
-// WithShare sets the position of this host among those that share the rate limits of
-// targets.
-func WithShare(f func() rates.Share) Option { return func(p *Proxy) { p.share = f } }
+// WithShare sets the function that returns this host's share of the limits of a target.
+func WithShare(f func(t *fleet.Target) rates.Share) Option { return func(p *Proxy) { p.share = f } }
 
 // WithCachePlanner sets the policy for fetching and saving KV cache entries.
 func WithCachePlanner(k CachePlanner) Option { return func(p *Proxy) { p.planner = k } }
@@ -97,8 +97,9 @@
 	region      func(zone string) string
 	evacuated   func(zone string) bool
 	hosts       func() int
-	share       func() rates.Share
+	share       func(t *fleet.Target) rates.Share
 	costs       place.Costs
+	speeds      *speed.Tracker
 	placement   atomic.Pointer[place.Rule]
 	staleLimits atomic.Pointer[StaleLimits]
 
@@ -122,9 +123,9 @@
 	// It also guards waitQueues, the requests that wait for capacity, by service.
 	placementMu sync.Mutex
 	waitQueues  map[string][]*waiter
-	// buckets hold what this host may still send to targets that name a rate limit, by
-	// target. placementMu guards them too.
-	buckets map[string]*rates.Bucket
+	// buckets hold what this host may still send to targets with a limit, by target.
+	// placementMu guards them too.
+	buckets map[string]*limitShare
 	// dispatchPending is set while a dispatch of the waiting requests is scheduled.
 	dispatchPending atomic.Bool
 	// limitPollPending is set while a dispatch is scheduled for requests that wait for
@@ -139,8 +140,8 @@
 		allowance: retry.Allowance{Ratio: 0.1, Fixed: 10, Window: 10 * time.Second},
 		distance:  func(string) place.Distance { return place.SameZone }, region: func(string) string { return "" },
 		evacuated: func(string) bool { return false },
-		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
-		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
+		hosts:     func() int { return 1 }, costs: place.DefaultCosts(), speeds: speed.New(),
+		share: func(*fleet.Target) rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*limitShare{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
 		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
 	}
