Bound what the connections of callers hold

Cause: heads count nothing, unfinished bodies hold the pool of received data without end, and no share of the descriptors is kept for targets. Change: internal/caller counts what each connection holds of an unanswered request at its cost after decoding, closes what exceeds the operator's times, and makes room by closing first the connection that has held most for longest without progress. Heads without room are refused before they are decoded. The ready, admin and peer addresses have guards of their own. The runtime collects more often from 70 % of the memory on; the settings have 'descriptors'. A pool that is full closes unfinished bodies without progress.

--- a/cmd/sesamed/serve.go
+++ b/cmd/sesamed/serve.go
@@ -18,8 +18,8 @@
 
 // softMemoryShare is the share of the memory limit of the host above which the
 // runtime collects garbage more often. It is below 1 because the memory that counts
-// towards the limit is more than the heap.
-const softMemoryShare = 0.8
+// towards the limit is more than the heap: the program, and what the kernel has received.
+const softMemoryShare = 0.7
 
 type serveCommand struct {
 	settings string
--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -26,6 +26,7 @@
 	"io"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -36,6 +37,13 @@
 	smallReadBytes = 8 << 10
 	// poolDivisor limits a single read to this fraction of the pool's limit.
 	poolDivisor = 4
+	// reclaimDivisor is the divisor of the pool's limit that gives how much more than
+	// needed is reclaimed at once, so that it is not done anew for each read.
+	reclaimDivisor = 16
+	// reclaimTime is how long a read waits for memory that others release, and
+	// reclaimInterval the time between two attempts.
+	reclaimTime     = 100 * time.Millisecond
+	reclaimInterval = 5 * time.Millisecond
 )
 
 // LimitError says that received data exceeds a limit.
@@ -59,6 +67,8 @@
 type Pool struct {
 	limit int64
 	inUse atomic.Int64
+	// reclaim is a func(n int) bool, see OnFull.
+	reclaim atomic.Value
 }
 
 // NewPool returns a pool with a limit; zero or less means no limit.
@@ -67,16 +77,41 @@
 // InUse returns the number of reserved bytes.
 func (p *Pool) InUse() int64 { return p.inUse.Load() }
 
+// OnFull sets a function that makes other reads fail, so that they release at least n bytes
+// soon. It returns false if there are none to choose.
+func (p *Pool) OnFull(reclaim func(n int) bool) { p.reclaim.Store(reclaim) }
+
 // Reserve reserves n more bytes for a read that has reserved some already. It
 // returns a *LimitError and reserves nothing if the pool is full and the read is not
-// small.
+// small. If the pool is full, it may wait for others to release memory.
 func (p *Pool) Reserve(reserved, n int) error {
+	if p.tryReserve(reserved, n) || p.reserveReclaimed(reserved, n) {
+		return nil
+	}
+	return &LimitError{Limit: p.limit, PoolFull: true}
+}
+
+func (p *Pool) tryReserve(reserved, n int) bool {
 	total := p.inUse.Add(int64(n))
 	if p.limit > 0 && total > p.limit && reserved+n > smallReadBytes {
 		p.inUse.Add(-int64(n))
-		return &LimitError{Limit: p.limit, PoolFull: true}
+		return false
 	}
-	return nil
+	return true
+}
+
+// reserveReclaimed reserves bytes that other reads release.
+func (p *Pool) reserveReclaimed(reserved, n int) bool {
+	reclaim, ok := p.reclaim.Load().(func(n int) bool)
+	if !ok || !reclaim(n+int(p.limit/reclaimDivisor)) {
+		return false
+	}
+	for end := time.Now().Add(reclaimTime); time.Now().Before(end); time.Sleep(reclaimInterval) {
+		if p.tryReserve(reserved, n) {
+			return true
+		}
+	}
+	return false
 }
 
 // Release returns n reserved bytes to the pool.
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/bound"
+	"sesamehill.example/sesamehill/internal/caller"
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
@@ -153,9 +154,8 @@
 	return true
 }
 
-// setDeadline sets the deadline from the timeouts of the route and of the caller, and from
-// the stop of the host.
-func (j *job) setDeadline(d *drain) {
+// timeout returns the time for a request that the route and the caller give.
+func (j *job) timeout() time.Duration {
 	timeout := j.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -163,7 +163,13 @@
 	if j.Timeout > 0 {
 		timeout = min(timeout, j.Timeout)
 	}
-	j.deadline = j.Arrived + timeout - responseMargin
+	return timeout
+}
+
+// setDeadline sets the deadline from the timeouts of the route and of the caller, and from
+// the stop of the host.
+func (j *job) setDeadline(d *drain) {
+	j.deadline = j.Arrived + j.timeout() - responseMargin
 	if d != nil {
 		j.deadline = min(j.deadline, d.end-responseMargin)
 	}
@@ -187,6 +193,13 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if r.ContentLength > int64(limit) {
+		p.deny(j.w, j, http.StatusRequestEntityTooLarge, "request body too large")
+		return false
+	}
+	if r.ContentLength != 0 {
+		caller.LimitBody(r.Context(), j.timeout())
+	}
 	body, err := p.pool.Read(r.Body, limit)
 	var exceeded *bound.LimitError
 	switch {
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -7,24 +7,37 @@
 	"net/http"
 	"time"
 
+	"sesamehill.example/sesamehill/internal/caller"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
 // serveAdmin serves HTTP calls other than those of callers until ctx is cancelled.
-func serveAdmin(ctx context.Context, address string, h http.Handler) error {
-	l, err := wire.Listen(ctx, address)
+func serveAdmin(ctx context.Context, address string, g *caller.Guard, h http.Handler) error {
+	l, err := wire.Listen(ctx, address, wire.WithReceiveBuffer(callerReceiveBytes))
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
+	s := &http.Server{
+		Handler: g.Handler(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxAdminHeaderBytes, ConnState: g.Track, ConnContext: g.Context,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() }) // makes Serve return
 	defer stop()
-	if err := s.Serve(l); ctx.Err() == nil {
+	if err := s.Serve(g.Listener(l)); ctx.Err() == nil {
 		return err
 	}
 	return nil
 }
 
+// ignoreBody answers requests without reading their bodies.
+func ignoreBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close") // else net/http reads the body before it answers
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // State is the state dump of a host for operators.
 type State struct {
 	Settings      Settings       `json:"settings"`
@@ -63,6 +76,7 @@
 	vars.Set("reads", expvar.Func(func() any { return h.tables.ReadStats() }))
 	vars.Set("outdated", expvar.Func(func() any { return h.leasedTask.roller.Outdated() }))
 	vars.Set("held", expvar.Func(func() any { return h.pool.InUse() }))
+	vars.Set("callers", expvar.Func(func() any { return h.guards.stats() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -72,5 +86,5 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(h.dumpState()) // the client has disconnected
 	})
-	return mux
+	return ignoreBody(mux)
 }
--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -11,13 +11,15 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/caller"
 )
 
 // Guards against a failure that is logged at each stop, and against a listener that is
 // started again while the host drains.
 var _ = Describe("a drained server", func() {
 	It("returns from Serve without an error, and only after its context is cancelled", func() {
-		s := newCallerServer(http.NotFoundHandler())
+		s := newCallerServer(http.NotFoundHandler(), caller.NewGuard())
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
 		served := make(chan error, 1)
@@ -72,15 +74,15 @@
 	It("is not served", func() {
 		var served atomic.Int32
 		var closing atomic.Bool
-		s := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+		s := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }), caller.NewGuard())
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		go func() {
-			_ = s.http.Serve(hookedListener{Listener: l, afterRead: func() {
+			_ = s.http.Serve(s.guard.Listener(hookedListener{Listener: l, afterRead: func() {
 				if closing.Load() {
-					s.closeIdle(0)
+					s.guard.CloseWaiting(0)
 				}
-			}})
+			}}))
 		}()
 		defer func() { _ = s.http.Close() }()
 		conn, err := net.Dial("tcp", l.Addr().String())
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -111,6 +111,7 @@
 	configs      *configExchange
 	targets      *targetWatcher
 	callers      *callerServer
+	guards       *guards
 	catalog      *kvcat.Catalog
 	stores       *storeWatcher
 	leasedTask   *leasedTask
@@ -174,7 +175,9 @@
 		relay.WithRegionHosts(h.members.regionHostCount), relay.WithPlatformClock(h.clock), relay.WithLog(h.log))
 	h.config.proxy = h.proxy
 	h.config.failedAt = func() time.Duration { return h.tables.FailedAt(p.OperatorTable()) }
-	h.callers = newCallerServer(h.proxy)
+	h.guards = newGuards(s)
+	h.pool.OnFull(h.guards.callers.ShedBodies)
+	h.callers = newCallerServer(h.proxy, h.guards.callers)
 	return h, nil
 }
 
@@ -191,11 +194,17 @@
 		h.tables, memberTable, h.members, feed.WithInterval(h.members.pollInterval), feed.WithOnSuccess(h.members.recordRead),
 	).Run)
 	t.Add("front", func(ctx context.Context) error { return h.callers.Serve(ctx, h.settings.Front) })
-	t.Add("ready", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Ready, h.readyHandler()) })
-	t.Add("admin", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Admin, h.adminHandler()) })
-	t.Add("peers", func(ctx context.Context) error { return serveAdmin(ctx, h.settings.Peer, h.peerHandler()) })
+	t.Add("ready", func(ctx context.Context) error {
+		return serveAdmin(ctx, h.settings.Ready, h.guards.ready, h.readyHandler())
+	})
+	t.Add("admin", func(ctx context.Context) error {
+		return serveAdmin(ctx, h.settings.Admin, h.guards.admin, h.adminHandler())
+	})
+	t.Add("peers", func(ctx context.Context) error {
+		return serveAdmin(ctx, h.settings.Peer, h.guards.peers, h.peerHandler())
+	})
 	t.Add("reload", h.reload)
-	t.Add("idle", h.sweepIdle)
+	t.Add("callers", h.sweepCallers)
 	t.Add("probes", h.probeTargets)
 	t.Add("stores", h.stores.Run)
 	t.Add("members", h.members.Run)
@@ -282,26 +291,11 @@
 
 // readyHandler answers the readiness checks of the load balancer.
 func (h *Host) readyHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return ignoreBody(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !h.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})
-}
-
-// sweepIdle closes connections of callers that exceed the idle timeout of the operator
-// configuration.
-func (h *Host) sweepIdle(ctx context.Context) error {
-	for {
-		if err := pause.For(ctx, idleSweepInterval); err != nil {
-			return nil //nolint:nilerr // cancellation is the normal way to stop
-		}
-		limit := defaultIdleTimeout
-		if s := h.proxy.Config(); s != nil && s.Limits.IdleTimeout > 0 {
-			limit = s.Limits.IdleTimeout
-		}
-		h.callers.closeIdle(limit)
-	}
+	}))
 }
 
 // targetChanged logs a change of a target and wakes probeTargets.
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -35,6 +35,9 @@
 	Level string `toml:"level"`
 	// Memory is the memory limit in megabytes; zero means that none is set.
 	Memory int64 `toml:"memory"`
+	// Descriptors is the limit of open files of the process; zero stands for the limit of
+	// the operating system.
+	Descriptors int `toml:"descriptors,omitempty"`
 	// Link is the rate of the host's network link in megabits per second and Share its
 	// share of a CPU core; zero stands for unknown. Where hosts are many, those with
 	// the highest product become hubs for the others.
@@ -123,8 +126,8 @@
 		return &SettingsError{Field: "ratio, slack or window", Problem: "is negative or zero"}
 	case s.Grace <= 0:
 		return &SettingsError{Field: "grace", Problem: "is not positive"}
-	case s.Lease < 0 || s.Drain < 0 || s.Memory < 0:
-		return &SettingsError{Field: "lease, drain or memory", Problem: "is negative"}
+	case s.Lease < 0 || s.Drain < 0 || s.Memory < 0 || s.Descriptors < 0:
+		return &SettingsError{Field: "lease, drain, memory or descriptors", Problem: "is negative"}
 	case s.Link < 0 || s.Share < 0:
 		return &SettingsError{Field: "link or share", Problem: "is negative"}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -192,11 +192,28 @@
 // has no monotonic clock reading, which would not include suspensions.
 func BootNow() time.Time { return time.Unix(0, int64(BootTime())) }
 
+// ListenOption changes a default of Listen.
+type ListenOption func(c syscall.RawConn)
+
+// WithReceiveBuffer sets how many bytes of each connection the kernel holds that were
+// received and not yet read.
+func WithReceiveBuffer(size int) ListenOption {
+	return func(c syscall.RawConn) {
+		// A kernel that refuses the option keeps its own size.
+		_ = c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+	}
+}
+
 // Listen opens a listener whose connections detect dead peers.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
+func Listen(ctx context.Context, address string, opts ...ListenOption) (net.Listener, error) {
 	c := net.ListenConfig{
 		KeepAliveConfig: keepAlive,
-		Control:         func(_, _ string, c syscall.RawConn) error { return setUnackedTimeout(c) },
+		Control: func(_, _ string, c syscall.RawConn) error {
+			for _, o := range opts {
+				o(c)
+			}
+			return setUnackedTimeout(c)
+		},
 	}
 	return c.Listen(ctx, "tcp", address)
 }
