--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -23,6 +23,8 @@
 	// shortDivisor is the divisor of the budget that gives the free part below which
 	// connections with requests sent ahead are closed after an answer.
 	shortDivisor = 4
+	// never is a time that the clock does not have.
+	never = -1
 )
 
 // Option changes a default of NewGuard.
@@ -44,13 +46,14 @@
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 	order uint64
-	// exhaustedAt is the time of the clock at which no further connection could be closed.
-	exhaustedAt int64
+	// exhaustedAt is the time of the clock at which no further connection could be closed,
+	// and bodiesExhaustedAt that for bodies.
+	exhaustedAt, bodiesExhaustedAt int64
 }
 
 // NewGuard returns a guard without connections.
 func NewGuard(opts ...Option) *Guard {
-	g := &Guard{conns: map[*Conn]struct{}{}, closed: new(expvar.Map).Init(), sweptAt: wire.BootTime(), exhaustedAt: -1}
+	g := &Guard{conns: map[*Conn]struct{}{}, closed: new(expvar.Map).Init(), sweptAt: wire.BootTime(), exhaustedAt: never, bodiesExhaustedAt: never}
 	g.limits.Store(&Limits{})
 	for _, o := range opts {
 		o(g)
@@ -152,7 +155,11 @@
 func (g *Guard) shed(n Need) int {
 	now := g.now.Load()
 	limits := g.limits.Load()
-	if g.exhaustedAt == now && limits.StallTime > 0 && !n.Bodies {
+	exhaustedAt := &g.exhaustedAt
+	if n.Bodies {
+		exhaustedAt = &g.bodiesExhaustedAt
+	}
+	if *exhaustedAt == now && limits.StallTime > 0 {
 		return 0
 	}
 	conns, holdings := make([]*Conn, 0, len(g.conns)), make([]Holding, 0, len(g.conns))
@@ -167,8 +174,8 @@
 			freed += holdings[i].Bytes
 		}
 	}
-	if !n.Bodies && (freed < n.Bytes || closed < n.Conns) {
-		g.exhaustedAt = now
+	if freed < n.Bytes || closed < n.Conns {
+		*exhaustedAt = now
 	}
 	return closed
 }
--- a/internal/server/guards.go
+++ b/internal/server/guards.go
@@ -26,7 +26,7 @@
 	callerStallTime = time.Second
 	// callerReceiveBytes is what the kernel holds of a connection that is not read. It counts
 	// as memory of the machine.
-	callerReceiveBytes = 32 << 10
+	callerReceiveBytes = 16 << 10
 	// The admin limits are those of the ready and the admin address. Their calls are short,
 	// so that a new connection may displace the oldest one at once.
 	maxAdminHeaderBytes = 16 << 10
