Explain where a request would go, without sending it

sesamectl explain sends a request as it stands on the wire to the admin address of a host on a shared platform. The host runs it through the route, the quarantine, the check of targets, the zones and the choice that requests run through, reserves nothing, and returns the target, the place in the queue, the refusal that would follow, and for each target its cost or the reason why it is passed over.

Hosts of sesamed run have no explanation yet.

--- a/cmd/sesamectl/main.go
+++ b/cmd/sesamectl/main.go
@@ -5,6 +5,7 @@
 //
 //	sesamectl config init|check|show|diff|apply|history
 //	sesamectl status|hosts|targets|links|rollout|state|drain
+//	sesamectl explain
 //	sesamectl keys
 //	sesamectl load
 //	sesamectl version
@@ -32,7 +33,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	for _, c := range []subcommands.Command{
-		&configCommand{}, &drainCommand{}, &hostsCommand{}, &keysCommand{}, &linksCommand{}, &loadCommand{},
+		&configCommand{}, &drainCommand{}, &explainCommand{}, &hostsCommand{}, &keysCommand{}, &linksCommand{}, &loadCommand{},
 		&rolloutCommand{}, &stateCommand{}, &statusCommand{}, &targetsCommand{}, &versionCommand{},
 	} {
 		subcommands.Register(c, "")
--- /dev/null
+++ b/internal/proxy/explain_test.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/opconf"
+)
+
+// explainWorld returns a host whose configuration has a route to the service.
+func explainWorld(t *testing.T) *zoneWorld {
+	t.Helper()
+	config, err := opconf.New(opconf.Config{
+		Version: 1, Services: []opconf.Service{{Name: "app"}},
+		Routes: []opconf.Route{{Name: "r", Host: "h", Prefix: "/app/", LatencyTarget: time.Second, Shares: []opconf.Share{{Service: "app", Weight: 1}}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newZoneWorld()
+	w.proxy.SetConfig(config)
+	return w
+}
+
+// check compares the explanation of a request with what the request does at this moment.
+func (w *zoneWorld) check(t *testing.T, id string) Explanation {
+	t.Helper()
+	call := w.job(id).Call
+	e := w.proxy.Explain(call)
+	j := w.job(id)
+	if r := w.proxy.findRoute(j, "h", call.URL.Path); r != nil {
+		t.Fatal(r)
+	}
+	outcome, target := Rejected, ""
+	switch v := w.proxy.choose(j).(type) {
+	case granted:
+		outcome, target = Sent, v.ID
+		defer v.attempt.End(fleet.ClientDisconnected)
+	case nil:
+		outcome = Waits
+	}
+	if e.Outcome != outcome || e.Target != target {
+		t.Errorf("explained as %s %s, the request is %s %s", e.Outcome, e.Target, outcome, target)
+	}
+	if outcome != Sent && (e.Refusal == nil || e.Refusal.Reason == "") {
+		t.Error("the explanation names no refusal")
+	}
+	return e
+}
+
+// Guards against explanations that differ from what a request does at that moment.
+func TestExplain(t *testing.T) {
+	for _, file := range []string{"testdata/explain.txtar", "testdata/zones.txtar"} {
+		archive, err := txtar.ParseFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, script := range archive.Files {
+			t.Run(script.Name, func(t *testing.T) { playExplanation(t, string(script.Data)) })
+		}
+	}
+}
+
+func playExplanation(t *testing.T, script string) {
+	t.Helper()
+	w := explainWorld(t)
+	reasons, explained := map[string]string{}, Explanation{}
+	for line := range strings.Lines(script) {
+		f := strings.Fields(line)
+		switch {
+		case f[0] == "=>":
+			w.fleet.SetRemoteInFlight("other", w.calls, fleet.Peer)
+			explained = w.check(t, "first")
+			for i := range 50 {
+				w.check(t, fmt.Sprint("request-", i))
+			}
+			for _, target := range explained.Targets {
+				reasons[target.ID] = target.Reason
+			}
+			if len(f) == 2 && string(explained.Outcome) != f[1] {
+				t.Errorf("explained as %s, want %s", explained.Outcome, f[1])
+			}
+		case len(explained.Targets) > 0:
+			if want := strings.TrimPrefix(strings.TrimSpace(strings.TrimPrefix(line, f[0])), "-"); reasons[f[0]] != want {
+				t.Errorf("target %s: %q, want %q", f[0], reasons[f[0]], want)
+			}
+		default:
+			w.set(t, f)
+		}
+	}
+}
+
+// Guards against an explanation of a request that the configuration does not allow.
+func TestExplainUnknownRoute(t *testing.T) {
+	w := explainWorld(t)
+	call := w.job("x").Call
+	call.URL = &url.URL{Path: "/none"}
+	if e := w.proxy.Explain(call); e.Outcome != Rejected || e.Refusal.Status != 404 {
+		t.Errorf("explained as %+v", e)
+	}
+}
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -51,7 +51,7 @@
 	return s
 }
 
-// adminHandler serves the counters and the state dump.
+// adminHandler serves the counters, the state dump and explanations of requests.
 func (h *Host) adminHandler() http.Handler {
 	vars := new(expvar.Map).Init()
 	vars.Set("decisions", h.proxy.Metrics.Counters)
@@ -68,6 +68,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(vars.String())) // the client has disconnected
 	})
+	mux.HandleFunc("POST "+ExplainPath, h.serveExplain)
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(h.dumpState()) // the client has disconnected
