--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -123,6 +123,8 @@
 	// It also guards waitQueues, the requests that wait for capacity, by service.
 	placementMu sync.Mutex
 	waitQueues  map[string][]*waiter
+	// leaving decides when a request leaves the zone.
+	leaving leaving
 	// buckets hold what this host may still send to targets with a limit, by target.
 	// placementMu guards them too.
 	buckets map[string]*limitShare
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -15,6 +15,8 @@
 // new configuration changes that.
 const excludedRetryAfter = 5 * time.Second
 
+const excludedReason = "the allowed regions of the route and of the account exclude each other"
+
 // RelayedConn is a connection to a target that leads through another host.
 type RelayedConn interface {
 	net.Conn
@@ -31,9 +33,9 @@
 }
 
 // mayServe reports whether a target is where the request may be served, and its zone is not
-// evacuated. Of a request with
-// allowed regions, it also reports whether the target can be reached, through hosts that may
-// carry the request: no other region can replace these targets while all of them are down.
+// evacuated. Of a request with allowed regions, it also reports whether the target can be
+// reached, through hosts that may carry the request: no other region can replace these
+// targets while all of them are down.
 func (p *Proxy) mayServe(j *job, s fleet.Status) bool {
 	switch {
 	case p.evacuated(s.Zone):
@@ -46,10 +48,18 @@
 	return !s.Tunneled || p.paths.CanRelay(j.allowed)
 }
 
+// restriction says why mayServe is false for a target.
+func (p *Proxy) restriction(s fleet.Status) string {
+	if p.evacuated(s.Zone) {
+		return "its zone is evacuated"
+	}
+	return "it cannot be reached in a region that the route and the account allow"
+}
+
 // refuseExcluded answers a request whose route and account leave no region.
 func (p *Proxy) refuseExcluded(j *job) {
 	p.Metrics.Count("refused by region")
-	p.refuse(j, "the allowed regions of the route and of the account exclude each other", excludedRetryAfter)
+	p.refuse(j, excludedReason, excludedRetryAfter)
 }
 
 // restrictedReason says that the allowed regions of a request, or evacuated zones, leave none
