Refuse waiting requests by their predicted wait, and let small ones pass large ones

A request waited two latency targets or 0.4 of its time by a timer, four requests without room ended a dispatch, so that large ones held up small ones behind them, and accounts had no share in the order.

The wait is now predicted from the work of the same size class before a request and the rate at which such requests got room; one that would start after 0.4 of its time is refused at once, with a Retry-After by urgency. Smaller requests pass a large one without room until they have taken twice its size. An account above its equal share counts as less urgent by up to one step.

--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -13,6 +13,7 @@
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -233,6 +234,9 @@
 		case waitExpired:
 			p.queueTimedOut(ctx, j, v.queueTime)
 			return
+		case overloaded:
+			p.refuseOverloaded(j, v.Refuse)
+			return
 		case refused:
 			p.endQuarantined(j, v.Refuse)
 			return
@@ -288,6 +292,16 @@
 	p.giveUp(j, "no target had capacity within "+queueTime.Round(time.Millisecond).String())
 }
 
+// refuseOverloaded answers a request that has not run and would get a target too late.
+func (p *Proxy) refuseOverloaded(j *job, r queue.Refuse) {
+	p.Metrics.Count("refused predicted wait")
+	j.log.Info(
+		"refused: predicted wait", zap.Int64("predicted", r.Predicted.Milliseconds()), zap.Int("priority", j.priority()),
+		zap.Int64("retryafter", r.RetryAfter.Milliseconds()),
+	)
+	p.refuse(j, "the predicted wait for capacity is "+r.Predicted.Round(time.Millisecond).String(), max(r.RetryAfter, j.limitedFor))
+}
+
 // giveUp ends a request for which no further attempt is possible.
 func (p *Proxy) giveUp(j *job, reason string) {
 	switch {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,7 +111,7 @@
 	// placementMu makes the choice of a target and its reservation one atomic step.
 	// It also guards waitQueues, the requests that wait for capacity, by service.
 	placementMu sync.Mutex
-	waitQueues  map[string][]*waiter
+	waitQueues  map[string]*waitQueue
 	// buckets hold what this host may still send to targets that name a rate limit, by
 	// target. placementMu guards them too.
 	buckets map[string]*rates.Bucket
@@ -131,7 +131,7 @@
 		hosts:     func() int { return 1 }, costs: place.DefaultCosts(),
 		share: func() rates.Share { return rates.Share{Hosts: 1} }, buckets: map[string]*rates.Bucket{},
 		pooledTransport: wire.NewTransport(wire.KeepAlive), freshTransport: wire.NewTransport(wire.SingleUse), paths: directPaths{wire.Dialer()},
-		windows: map[string]*retry.Window{}, waitQueues: map[string][]*waiter{}, Metrics: newMetrics(), crashes: crash.New(),
+		windows: map[string]*retry.Window{}, waitQueues: map[string]*waitQueue{}, Metrics: newMetrics(), crashes: crash.New(),
 	}
 	p.drained, p.endDrain = context.WithCancelCause(context.Background())
 	p.SetPolicy(place.Cost)
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,23 +16,15 @@
 )
 
 const (
-	// waitLatencyFactor limits the wait for capacity to a multiple of the latency
-	// target of the route, waitDeadlineShare to a share of the time until the
-	// deadline. A caller that is refused then still has time to retry.
-	waitLatencyFactor = 2.0
-	waitDeadlineShare = 0.4
 	// maxWaitingPerService limits the requests that wait for one service.
 	maxWaitingPerService = 512
 	// dispatchDelay is the time for which changes of targets are collected before
 	// one dispatch.
 	dispatchDelay = 12 * time.Millisecond
-	// maxMisses is the number of waiting requests without a target after which a
-	// dispatch stops trying the others.
-	maxMisses = 4
 )
 
-// waitOutcome is the outcome of a wait for capacity: granted, noTarget, waitExpired or
-// refused.
+// waitOutcome is the outcome of a wait for capacity: granted, noTarget, waitExpired,
+// overloaded or refused.
 type waitOutcome interface{ waitOutcome() }
 
 // granted carries the reserved target.
@@ -43,6 +36,9 @@
 // waitExpired says that the request waited too long or that too many others wait.
 type waitExpired struct{ queueTime time.Duration }
 
+// overloaded says that the request would get a target too late to be of use.
+type overloaded struct{ queue.Refuse }
+
 // refused says that the request must not run, as it or a part of its prompt crashes
 // targets.
 type refused struct{ crash.Refuse }
@@ -54,6 +50,7 @@
 func (granted) waitOutcome()     {}
 func (noTarget) waitOutcome()    {}
 func (waitExpired) waitOutcome() {}
+func (overloaded) waitOutcome()  {}
 func (refused) waitOutcome()     {}
 func (onTrial) waitOutcome()     {}
 
@@ -62,14 +59,32 @@
 	job    *job
 	item   queue.Item
 	result chan waitOutcome
+	// missed is set once the request has found no room, onTrial if it waits for the trial
+	// of another request instead.
+	missed, onTrial bool
+}
+
+// waitQueue holds the requests that wait for capacity at the targets of a service.
+type waitQueue struct {
+	waiters []*waiter
+	rates   queue.Rates
+	shares  queue.Shares
+}
+
+// waitQueue returns the queue of a service. The caller holds placementMu.
+func (p *Proxy) waitQueue(service string) *waitQueue {
+	q, ok := p.waitQueues[service]
+	if !ok {
+		q = &waitQueue{}
+		p.waitQueues[service] = q
+	}
+	return q
 }
 
 // acquire reserves a target with capacity and waits for one if necessary.
 func (p *Proxy) acquire(ctx context.Context, j *job) waitOutcome {
 	j.costs = p.costs.For(p.hosts())
-	w := &waiter{job: j, result: make(chan waitOutcome, 1), item: queue.Item{
-		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Priority: j.priority(), First: j.binding.bound,
-	}}
+	w := &waiter{job: j, result: make(chan waitOutcome, 1), item: j.queueItem(wire.BootTime())}
 	if !p.enqueue(w) {
 		return waitExpired{}
 	}
@@ -94,18 +109,38 @@
 	return p.dequeue(w, wire.BootTime()-started)
 }
 
+// queueItem describes a request that is queued now.
+func (j *job) queueItem(now time.Duration) queue.Item {
+	i := queue.Item{
+		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Deadline: j.deadline, Latest: queue.Latest(now, j.deadline),
+		Priority: j.priority(), First: j.binding.bound, Began: j.headerSent || j.attempts > 0, Size: 1,
+	}
+	if j.Prompt != nil {
+		i.Size = max(j.Prompt.InputTokens+j.Prompt.MaxOutputTokens, 1)
+	}
+	return i
+}
+
+// accountName is the name of the client account; empty if there is none.
+func (j *job) accountName() string {
+	if j.account == nil {
+		return ""
+	}
+	return j.account.Name
+}
+
 // enqueue adds a request and dispatches the queue of its service. It returns false
 // if too many requests wait already.
 func (p *Proxy) enqueue(w *waiter) bool {
 	p.placementMu.Lock()
 	defer p.placementMu.Unlock()
-	name := w.job.service.Name
-	if len(p.waitQueues[name]) >= maxWaitingPerService {
+	q := p.waitQueue(w.job.service.Name)
+	if len(q.waiters) >= maxWaitingPerService {
 		return false
 	}
 	w.job.waitingSince = wire.BootTime()
-	p.waitQueues[name] = append(p.waitQueues[name], w)
-	p.dispatch(name)
+	q.waiters = append(q.waiters, w)
+	p.dispatch(q)
 	return true
 }
 
@@ -119,14 +154,8 @@
 		return v
 	default:
 	}
-	name := w.job.service.Name
-	remaining := p.waitQueues[name][:0]
-	for _, other := range p.waitQueues[name] {
-		if other != w {
-			remaining = append(remaining, other)
-		}
-	}
-	p.waitQueues[name] = remaining
+	q := p.waitQueue(w.job.service.Name)
+	q.waiters = slices.DeleteFunc(q.waiters, func(other *waiter) bool { return other == w })
 	return waitExpired{queueTime: queueTime}
 }
 
@@ -143,58 +172,94 @@
 	p.dispatchPending.Store(false)
 	p.placementMu.Lock()
 	defer p.placementMu.Unlock()
-	for name, list := range p.waitQueues {
-		if len(list) > 0 {
-			p.dispatch(name)
+	for _, q := range p.waitQueues {
+		if len(q.waiters) > 0 {
+			p.dispatch(q)
 		}
 	}
 }
 
-// dispatch tries to place the waiting requests of a service in queue order. The
-// caller holds placementMu.
-func (p *Proxy) dispatch(name string) {
-	list := p.waitQueues[name]
-	items := make([]queue.Item, len(list))
-	for i, w := range list {
-		items[i] = w.item
-	}
-	decided := make([]bool, len(list))
-	misses := 0
-	for _, i := range queue.Order(items, wire.BootTime()) {
-		if misses >= maxMisses {
-			break
+// dispatch tries to place the waiting requests of a service in queue order, and refuses
+// those that would get room too late. The caller holds placementMu.
+func (p *Proxy) dispatch(q *waitQueue) {
+	now := wire.BootTime()
+	waiters := q.inOrder(now)
+	pass := queue.NewPass()
+	q.waiters = q.waiters[:0]
+	for _, w := range waiters {
+		if !pass.Try(w.item) {
+			w.missed = true
+			q.waiters = append(q.waiters, w)
+			continue
 		}
-		v := p.safeChoose(list[i].job)
+		v := p.safeChoose(w.job)
+		_, w.onTrial = v.(onTrial)
 		switch v.(type) {
 		case nil:
-			misses++
+			w.missed = true
+			pass.Missed(&w.item)
+			q.waiters = append(q.waiters, w)
 			continue
 		case onTrial:
+			q.waiters = append(q.waiters, w)
 			continue
+		case granted:
+			pass.Granted(w.item)
+			q.recordGrant(w, now)
 		}
-		list[i].result <- v
-		decided[i] = true
+		w.result <- v
 	}
-	remaining := list[:0]
-	for i, w := range list {
-		if !decided[i] {
-			remaining = append(remaining, w)
-		}
+	p.refuseHopeless(q, now)
+}
+
+// inOrder returns the waiting requests in the order in which they should be placed.
+func (q *waitQueue) inOrder(now time.Duration) []*waiter {
+	items := make([]queue.Item, len(q.waiters))
+	for i, w := range q.waiters {
+		w.item.Excess = q.shares.Excess(w.job.accountName())
+		items[i] = w.item
+	}
+	sorted := make([]*waiter, 0, len(q.waiters))
+	for _, i := range queue.Order(items, now) {
+		sorted = append(sorted, q.waiters[i])
+	}
+	return sorted
+}
+
+// recordGrant records that a request has got a target.
+func (q *waitQueue) recordGrant(w *waiter, now time.Duration) {
+	q.shares.Placed(w.job.accountName(), w.item.Size, now)
+	if w.missed {
+		q.rates.Granted(w.item, now)
 	}
-	p.waitQueues[name] = remaining
+}
+
+// refuseHopeless refuses the waiting requests that would get room too late, by the rate at
+// which others got it. The waiters are in queue order.
+func (p *Proxy) refuseHopeless(q *waitQueue, now time.Duration) {
+	var before []queue.Item
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		if w.onTrial {
+			return false
+		}
+		verdict, hopeless := queue.Judge(w.item, q.rates.Wait(before, w.item, now), now, randomFraction()).(queue.Refuse)
+		if hopeless {
+			w.result <- overloaded{verdict}
+			return true
+		}
+		before = append(before, w.item)
+		return false
+	})
+	q.rates.Observe(before, now)
 }
 
 // waitLimit returns how long a request may wait for capacity.
 func (p *Proxy) waitLimit(j *job) time.Duration {
-	remaining := max(j.deadline-wire.BootTime(), 0)
+	now := wire.BootTime()
 	if j.headerSent {
-		return remaining // a stream that resumes after its deadline scores higher than a truncated one
-	}
-	limit := time.Duration(waitDeadlineShare * float64(remaining))
-	if j.route.LatencyTarget > 0 && !j.binding.bound {
-		limit = min(limit, time.Duration(waitLatencyFactor*float64(j.route.LatencyTarget)))
+		return max(j.deadline-now, 0) // a stream that resumes after its deadline scores higher than a truncated one
 	}
-	return limit
+	return queue.Latest(now, j.deadline) - now
 }
 
 // safeChoose calls choose and recovers from a panic. The request then gets no
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,16 +1,3 @@
-// Package queue orders the requests that wait for capacity at the targets of a service.
-//
-// Requests that can still meet their latency target come first, earliest deadline
-// first. A less urgent request is ordered by a later deadline, but this slack is
-// bounded, so that urgent requests cannot overtake it forever. Requests past their
-// latency target come last, in the order of arrival, since their answers score lower.
-// The order is a pure function.
-//
-// # Usage
-//
-//	for _, i := range queue.Order(items, now) {
-//		// try to place items[i]
-//	}
 package queue
 
 import (
@@ -18,9 +5,9 @@
 	"time"
 )
 
-// slackPerPriority is the extra time that one step of priority adds to the
-// deadline, as a share of the latency target.
-const slackPerPriority = 0.25
+// slackPerStep is the extra time that one step of priority, or an account that is far above
+// its share, adds to the end of the latency target, as a share of the latency target.
+const slackPerStep = 0.25
 
 // Item is a waiting request. Its times are on the boot clock.
 type Item struct {
@@ -28,11 +15,27 @@
 	// LatencyTarget is the latency target, counted from the arrival. An answer within it
 	// gets the full score.
 	LatencyTarget time.Duration
+	// Latest is the latest time at which a run may start to be of use to the caller, Deadline
+	// the time at which the caller gives up.
+	Latest   time.Duration
+	Deadline time.Duration
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority int
 	// First is set if the request goes on with a stream, for which few targets may be
 	// left. It comes before those without.
 	First bool
+	// Began is set if the request may have run at a target. It is not refused early, as it
+	// cannot be promised to its caller that it has not run.
+	Began bool
+	// Size is the work that the request asks for: its tokens in the memory of an engine, or
+	// 1 without a prompt.
+	Size int
+	// Excess is how far the client account is above an equal share of the work that was
+	// placed recently, from 0 to 1.
+	Excess float64
+	// Overtaken is the work that was placed while the request, which came first in the
+	// order, found no room.
+	Overtaken int
 }
 
 // Order returns the indexes of the items in the order in which they should be
@@ -61,11 +64,11 @@
 	case lateA:
 		return int(a.Arrived - b.Arrived)
 	}
-	return int(a.deadline() - b.deadline())
+	return int(a.Arrived + a.LatencyTarget + a.slack() - b.Arrived - b.LatencyTarget - b.slack())
 }
 
-// deadline is the time at which the latency target ends, with the slack of less
-// urgent requests.
-func (i Item) deadline() time.Duration {
-	return i.Arrived + i.LatencyTarget + time.Duration(slackPerPriority*float64(i.Priority)*float64(i.LatencyTarget))
+// slack is the time for which more urgent requests, and those of other accounts, that
+// arrive later still come first. It is bounded, so that nobody is overtaken forever.
+func (i Item) slack() time.Duration {
+	return time.Duration(slackPerStep * (float64(i.Priority) + i.Excess) * float64(i.LatencyTarget))
 }
--- /dev/null
+++ b/internal/queue/rates.go
@@ -0,0 +1,77 @@
+package queue
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+const (
+	// rateHalfLife is the time after which a grant counts half in the rate.
+	rateHalfLife = 2 * time.Second
+	// lanes is the number of size classes, each four times as large as the one before.
+	lanes = 16
+)
+
+// Rates measures how fast waiting requests of each size get room. The zero value has
+// measured nothing.
+type Rates struct{ lanes [lanes]lane }
+
+// lane holds the work that was granted to waiting requests of one size class and the time
+// for which any of them waited, both with less weight for what is longer ago.
+type lane struct {
+	granted float64
+	waited  time.Duration
+	at      time.Duration
+	waiting bool
+}
+
+// Observe records which sizes wait from now on.
+func (r *Rates) Observe(waiting []Item, now time.Duration) {
+	var present [lanes]bool
+	for _, i := range waiting {
+		present[laneOf(i)] = true
+	}
+	for n := range r.lanes {
+		r.lanes[n].advance(now)
+		r.lanes[n].waiting = present[n]
+	}
+}
+
+// Granted records that a request that has waited got room.
+func (r *Rates) Granted(i Item, now time.Duration) {
+	l := &r.lanes[laneOf(i)]
+	l.advance(now)
+	l.granted += float64(i.Size)
+}
+
+// Wait predicts how long a request waits with the given items before it in the order. The
+// prediction is the shortest one that agrees with what was measured: it assumes that one of
+// them gets its room at this moment, so that it is zero for the first request and for a new
+// queue, and grows while nobody gets room.
+func (r *Rates) Wait(before []Item, i Item, now time.Duration) time.Duration {
+	n := laneOf(i)
+	l := r.lanes[n]
+	l.advance(now)
+	work := 0.0
+	for _, b := range before {
+		if laneOf(b) == n {
+			work += float64(b.Size)
+		}
+	}
+	return time.Duration(work / (l.granted + float64(i.Size)) * float64(l.waited))
+}
+
+func (l *lane) advance(now time.Duration) {
+	elapsed := max(now-l.at, 0)
+	decay := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
+	l.granted *= decay
+	l.waited = time.Duration(float64(l.waited) * decay)
+	if l.waiting {
+		l.waited += elapsed
+	}
+	l.at = now
+}
+
+// laneOf returns the size class of a request.
+func laneOf(i Item) int { return min(bits.Len(uint(max(i.Size, 1)))/2, lanes-1) }
