--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -144,12 +144,12 @@
 
 // explainQueue finds the place of a request among those that wait.
 func (p *Proxy) explainQueue(j *job, e *Explanation) {
-	waiting := p.waitQueues[j.service.Name]
+	waiting := p.waitQueue(j.service.Name).waiters
 	items := make([]queue.Item, 0, len(waiting)+1)
 	for _, w := range waiting {
 		items = append(items, w.item)
 	}
-	items = append(items, j.queueItem())
+	items = append(items, j.queueItem(wire.BootTime()))
 	e.Waiting = len(items)
 	e.Place = slices.Index(queue.Order(items, wire.BootTime()), len(waiting)) + 1
 }
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -132,7 +132,7 @@
 		}
 	}
 	if own := byZone[p.leaving.own]; own != nil {
-		own.Waiting = len(p.waitQueues[s.Name]) * max(v.Hosts/max(len(byZone), 1), 1)
+		own.Waiting = len(p.waitQueue(s.Name).waiters) * max(v.Hosts/max(len(byZone), 1), 1)
 	}
 	for _, z := range byZone {
 		v.Zones = append(v.Zones, *z)
