--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -69,8 +69,10 @@
 	g := NewWithT(t)
 	c := &opconf.Config{
 		Routes: []opconf.Route{
-			{Name: "file", AllowedRegions: []string{"oslo"}}, {Name: "open", AllowedRegions: []string{"oslo"}, Public: true},
-			{Name: "any"}, {Name: "lost", AllowedRegions: []string{"narvik"}},
+			{Name: "file", AllowedRegions: []string{"oslo"}},
+			{Name: "open", AllowedRegions: []string{"oslo"}, Public: true},
+			{Name: "any"},
+			{Name: "lost", AllowedRegions: []string{"narvik"}},
 		},
 		Accounts: []opconf.Account{{Name: "east", AllowedRegions: []string{"oslo"}}, {Name: "west", AllowedRegions: []string{"bergen"}}, {Name: "free"}},
 	}
