Exchange in-flight load more often while calls are in flight

Cause: among many hosts a host learned of the others' calls after 0.3 s and more, through a hub that is queried each 200 ms. Change: a follower queries each 60 ms while calls are in flight, hubs update each other each 50 ms, as far as a share of their links carries it; on slow links with many targets it is as before. Speed is measured on attempts with fetches too.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -224,8 +224,15 @@
 	leader string
 	// followers holds the boot time of the last query of each follower.
 	followers map[string]time.Duration
-	// nextLoadAt is the boot time from which messages may hold in-flight load again.
-	nextLoadAt time.Duration
+	// loads paces the messages with in-flight load that this host sends or asks for, replies
+	// those that it sends to followers.
+	loads, replies pace
+	// linkMbps is the rate of this host's link; zero if unknown.
+	linkMbps float64
+	// queriedAt is the boot time of the last query, busy says that the last reply to one
+	// with in-flight load held some.
+	queriedAt time.Duration
+	busy      bool
 	// progress is the last received progress of the host that orders engines.
 	progress   receivedProgress
 	crashBatch crashBatch
--- a/internal/gossip/hubselect.go
+++ b/internal/gossip/hubselect.go
@@ -22,10 +22,12 @@
 type hubSelector struct {
 	hubs []string
 	// index is the selected hub, selectedAt the boot time of its selection, and
-	// unanswered the number of queries to it since its last reply.
+	// unanswered the number of queries to it since its last reply, of those that are
+	// queryInterval apart. countedAt is the boot time of the last one that was counted.
 	index      int
 	selectedAt time.Duration
 	unanswered int
+	countedAt  time.Duration
 	// noTables says that the hub does not know the platform's tables.
 	noTables bool
 }
@@ -45,7 +47,10 @@
 	case s.index != 0 && now-s.selectedAt > preferredHubRetry:
 		s.index, s.selectedAt, s.unanswered = 0, now, 0
 	}
-	s.unanswered++
+	if s.unanswered == 0 || now-s.countedAt >= queryInterval {
+		s.unanswered++
+		s.countedAt = now
+	}
 	return hubs[s.index]
 }
 
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -52,7 +52,7 @@
 		e.onMessage()
 	}
 	if m.Kind == Query {
-		e.write(conn, e.reply(m), from)
+		e.sendReply(conn, m, from)
 	}
 }
 
@@ -129,7 +129,8 @@
 		}
 		if !m.OmitsLoad {
 			e.fleet.SetRemoteInFlight(hubLoadKey, m.InFlight, fleet.Peer)
-			e.delayLoad(bytes, followerLoadBytesPerSecond)
+			e.delayLoad(bytes, e.loadRate(followerLoadBytesPerSecond, followerLinkShare))
+			e.busy = len(m.InFlight) > 0
 		}
 		if e.tables != nil {
 			e.tables.RecordVersions(from, m.Tables)
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -24,10 +24,14 @@
 	minInterval     = 60 * time.Millisecond
 	maxInterval     = 500 * time.Millisecond
 	intervalPerPeer = 12 * time.Millisecond
-	// queryInterval is the time between two queries of a follower, minHubInterval the
-	// minimum time between two updates of a hub to the other hubs.
-	queryInterval  = 200 * time.Millisecond
-	minHubInterval = 120 * time.Millisecond
+	// queryInterval is the time between two queries of a follower, loadQueryInterval that
+	// while calls are in flight and the link may carry their load. minHubInterval is the
+	// minimum time between two updates of a hub to the other hubs of its region,
+	// roundsToOtherRegions the number of them for one update to other regions.
+	queryInterval        = 200 * time.Millisecond
+	loadQueryInterval    = 60 * time.Millisecond
+	minHubInterval       = 50 * time.Millisecond
+	roundsToOtherRegions = 2
 	// hostsPerSkippedRound is the number of hosts of other regions for which one more
 	// round skips those regions, as the links between regions are narrow.
 	hostsPerSkippedRound = 5
@@ -36,9 +40,11 @@
 	maxTargets = 800
 	// followerLoadBytesPerSecond and hubLoadBytesPerSecond bound the traffic of
 	// in-flight load on a follower's link, and on a hub's link to the other hubs.
-	// Messages beyond this omit the load.
+	// hubReplyBytesPerSecond bounds it in the replies of a hub. Messages beyond this omit
+	// the load. Faster links carry more, see loadRate.
 	followerLoadBytesPerSecond = 24 << 10
 	hubLoadBytesPerSecond      = 400 << 10
+	hubReplyBytesPerSecond     = 480 << 10
 	// progressTTL is how long the received progress of another host is passed on.
 	progressTTL = 1500 * time.Millisecond
 	// followerTTL is how long a host counts as a follower after its last query.
@@ -60,10 +66,10 @@
 		if pause.For(ctx, pause.Jitter(t.interval())) != nil {
 			return
 		}
-		e.mu.Lock()
-		hub := e.hubs.next(t.Hubs, wire.BootTime())
-		e.leader = t.Leader
-		e.mu.Unlock()
+		hub, due := e.nextHub(t)
+		if !due {
+			continue
+		}
 		if hub != "" {
 			m := e.message(Query)
 			m.OmitsLoad = e.omitLoad()
@@ -71,7 +77,7 @@
 			continue
 		}
 		peers := t.SameRegion
-		if round%otherRegionsEvery(len(t.OtherRegions)) == 0 {
+		if round%t.otherRegionsEvery() == 0 {
 			peers = append(peers, t.OtherRegions...)
 		}
 		if len(peers) == 0 {
@@ -81,23 +87,37 @@
 		n := e.write(conn, m, peers...)
 		if t.Leader != "" && !m.OmitsLoad {
 			e.mu.Lock()
-			e.delayLoad(n*len(peers), hubLoadBytesPerSecond)
+			e.delayLoad(n*len(peers), e.loadRate(hubLoadBytesPerSecond, hubUpdateLinkShare))
 			e.mu.Unlock()
 		}
 	}
 }
 
+// nextHub returns the hub to query; empty if this host has none. It returns false if no query
+// is due: between two of them a follower asks for load only, while calls are in flight.
+func (e *Exchange) nextHub(t Topology) (hub string, due bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := wire.BootTime()
+	e.leader = t.Leader
+	if len(t.Hubs) > 0 && now-e.queriedAt < queryInterval && (!e.busy || e.loads.ahead(now) > 0) {
+		return "", false
+	}
+	e.queriedAt = now
+	return e.hubs.next(t.Hubs, now), true
+}
+
 // omitLoad reports whether the next message has to omit the in-flight load.
 func (e *Exchange) omitLoad() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return wire.BootTime() < e.nextLoadAt
+	return e.loads.ahead(wire.BootTime()) > 0
 }
 
 // delayLoad delays the next message with in-flight load by the time that the bytes
 // of the last one take at a rate. The caller holds mu.
 func (e *Exchange) delayLoad(bytes, bytesPerSecond int) {
-	e.nextLoadAt = wire.BootTime() + time.Duration(bytes)*time.Second/time.Duration(bytesPerSecond)
+	e.loads.sent(bytes, bytesPerSecond, wire.BootTime())
 }
 
 // limitTargets returns the in-flight load of the maxTargets targets with the most
@@ -120,7 +140,7 @@
 // interval returns the time between two rounds of messages.
 func (t Topology) interval() time.Duration {
 	if len(t.Hubs) > 0 {
-		return queryInterval
+		return loadQueryInterval
 	}
 	shortest := minInterval
 	if t.Leader != "" {
@@ -131,7 +151,13 @@
 
 // otherRegionsEvery returns the number of rounds of which one includes the hosts of
 // other regions.
-func otherRegionsEvery(hosts int) int { return 1 + hosts/hostsPerSkippedRound }
+func (t Topology) otherRegionsEvery() int {
+	every := 1 + len(t.OtherRegions)/hostsPerSkippedRound
+	if t.Leader != "" {
+		every *= roundsToOtherRegions
+	}
+	return every
+}
 
 // message returns an update or a query with the in-flight load.
 func (e *Exchange) message(k Kind) Message {
@@ -189,7 +215,7 @@
 // reply returns the reply to a follower's query.
 func (e *Exchange) reply(query Message) Message {
 	m := e.messageWithoutLoad(Reply)
-	if m.OmitsLoad = query.OmitsLoad; !m.OmitsLoad {
+	if m.OmitsLoad = query.OmitsLoad || e.replyAhead(); !m.OmitsLoad {
 		m.InFlight = limitTargets(e.fleet.InFlightExcept(query.Host))
 	}
 	if e.tables != nil {
@@ -207,6 +233,25 @@
 	return m
 }
 
+// replyAhead reports whether replies with load are ahead of their rate.
+func (e *Exchange) replyAhead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replies.ahead(wire.BootTime()) > replyBurst
+}
+
+// sendReply replies to a follower's query.
+func (e *Exchange) sendReply(conn net.PacketConn, query Message, follower string) {
+	m := e.reply(query)
+	n := e.write(conn, m, follower)
+	if m.OmitsLoad {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.replies.sent(n, e.loadRate(hubReplyBytesPerSecond, hubReplyLinkShare), wire.BootTime())
+}
+
 // recentProgress returns the progress that another host sent recently. With
 // onlyFollowers it returns only that of a follower, as hubs send theirs to each
 // other directly.
--- a/internal/proxy/speed.go
+++ b/internal/proxy/speed.go
@@ -13,9 +13,10 @@
 // measure is what an attempt was expected to wait for when it was sent, so that its duration
 // shows the speed of its target.
 type measure struct {
-	// tokens is what the engine had to prefill before the first event; zero if the time to
-	// the first event depends on something else too.
+	// tokens is what the engine had to prefill before the first event; zero if the attempt
+	// also waited for a slot. fetch is the expected time of the fetches before it.
 	tokens int
+	fetch  time.Duration
 	// queued is the number of calls that had to end before the attempt began.
 	queued int
 	// speed is how the target differed from the others.
@@ -28,9 +29,14 @@
 	if c.Slots <= 0 {
 		m.queued = 0
 	}
-	if c.FetchingMs == 0 && c.Stored <= c.Resident && m.queued == 0 {
+	if m.queued == 0 {
 		m.tokens = c.Unread + prefill
 	}
+	fetchMs := c.FetchingMs
+	if c.Stored > c.Resident {
+		fetchMs += c.FetchMs
+	}
+	m.fetch = time.Duration(fetchMs * float64(time.Millisecond))
 	return m
 }
 
@@ -44,7 +50,7 @@
 func (p *Proxy) recordFirstEvent(j *job, c reservation) {
 	if c.measure.tokens > 0 {
 		now := wire.BootTime()
-		p.speeds.RecordPrefill(speed.Prefill{Service: j.service.Name, Target: c.ID, Tokens: c.measure.tokens, Took: now - c.sent}, now)
+		p.speeds.RecordPrefill(speed.Prefill{Service: j.service.Name, Target: c.ID, Tokens: c.measure.tokens, Took: max(now-c.sent-c.measure.fetch, 0)}, now)
 	}
 }
 
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -205,7 +205,7 @@
 	t.Add("hail", gossip.New(
 		h.settings.Peer, h.settings.Name, h.fleet, h.members.topology, gossip.WithLog(h.log),
 		gossip.WithOnMessage(h.proxy.DispatchSoon), gossip.WithWeights(h), gossip.WithRoster(h.members), gossip.WithTables(h.tables),
-		gossip.WithCrashes(h.crashes), gossip.WithPlatformClock(h.clock), gossip.WithConfigs(h), gossip.WithOrigins(h.origins),
+		gossip.WithCrashes(h.crashes), gossip.WithPlatformClock(h.clock), gossip.WithConfigs(h), gossip.WithOrigins(h.origins), gossip.WithLink(h.settings.Link),
 	).Run)
 	h.leasedTask.addComponents(t)
 	return errors.Trace(t.Run(componentCtx))
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -36,7 +36,7 @@
 	targetHalfLife  = 10 * time.Second
 	// minPrefills and minPlain are the weights of measurements from which on the speed of a
 	// service is known, minOwn that of a target.
-	minPrefills = 30
+	minPrefills = 20
 	minPlain    = 20
 	minOwn      = 4
 	// Slowdowns are bounded, as they steer requests away from targets: faster ones than
