Bound fetches by the time until the answer is late

Cause: a fetch of stored parts was discarded after 350 ms at the earliest, whatever the request needs. Change: a fetch may take 0.35 of the time that is left until the answer is late, or 1.5 times its expected time. Without a latency target it is as before.

--- a/internal/kvcat/plan.go
+++ b/internal/kvcat/plan.go
@@ -25,6 +25,11 @@
 	// expected time, minFetchDeadline is the lower limit.
 	fetchDeadlineFactor = 3
 	minFetchDeadline    = 350 * time.Millisecond
+	// fetchLatencyShare is the share of the time left until the answer is late that a
+	// fetch may take, so that the engine can still read the prompt in time. A fetch gets
+	// minFetchFactor times its expected time in any case.
+	fetchLatencyShare = 0.35
+	minFetchFactor    = 1.5
 	// maxSaveSlowdown is the slowdown above which a store is sent no saves.
 	maxSaveSlowdown = 2.5
 	// defaultFetchMsPerToken is the time to fetch a token if the configuration
@@ -175,7 +180,7 @@
 		}
 	}
 	if fetches && c.hasOffset {
-		limit := min(max(time.Duration(fetchDeadlineFactor*totalMs*float64(time.Millisecond)), minFetchDeadline), MaxFetchTime)
+		limit := fetchLimit(totalMs, p.LatencyLeft)
 		plan.FetchDeadlineMs = m.now.Milliseconds() + c.offset + limit.Milliseconds()
 		plan.FetchMs = totalMs
 	}
@@ -188,6 +193,18 @@
 	return plan
 }
 
+// fetchLimit returns how long a fetch with an expected time may take for a request that is
+// late after a time; zero if that is unknown or over. An engine discards a fetch that takes
+// longer, and reads the prompt then.
+func fetchLimit(expectedMs float64, left time.Duration) time.Duration {
+	expected := time.Duration(expectedMs * float64(time.Millisecond))
+	limit := min(max(fetchDeadlineFactor*expected, minFetchDeadline), MaxFetchTime)
+	if left <= 0 {
+		return limit
+	}
+	return min(limit, max(time.Duration(fetchLatencyShare*float64(left)), time.Duration(minFetchFactor*float64(expected))))
+}
+
 // resident reports whether the shared parts of a prompt are probably resident at a
 // target.
 func (c *Catalog) resident(target, namespace string, shared []proxy.Part, now time.Duration) bool {
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -24,6 +24,9 @@
 	// InputTokens is the length of the prompt, MaxOutputTokens the most that the
 	// engine may generate.
 	InputTokens, MaxOutputTokens int
+	// LatencyLeft is the time left until the first event is late; zero if that is unknown or
+	// over.
+	LatencyLeft time.Duration
 }
 
 // Shared returns the parts that other requests may have in common: all but the last
