--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -36,6 +36,8 @@
 	Crashes       any            `json:"poison"`
 	Stores        any            `json:"stores"`
 	Hosts         []string       `json:"hosts"`
+	// Evacuated are the zones to which nothing is sent.
+	Evacuated []string `json:"evacuated"`
 }
 
 // dumpState returns the current state of the host.
@@ -44,6 +46,7 @@
 		Settings: h.currentSettings(), Time: time.Now(), Ready: h.Ready(), Weights: h.config.latestVersions(),
 		Targets: h.fleet.All(), Crashes: h.crashes.Stats(time.Now()),
 		Stores: h.catalog.Stats(), Hosts: h.members.hostNames(),
+		Evacuated: h.evacuations.Zones(wire.BootTime()),
 	}
 	if config := h.proxy.Config(); config != nil {
 		s.ConfigVersion = config.Version
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -33,6 +33,8 @@
 	// maxCutOffTries is the number of targets to which a tunnel is tried to find out
 	// whether this host is cut off.
 	maxCutOffTries = 2
+	// maxRelaySets bounds the sets of allowed regions for which hosts are remembered.
+	maxRelaySets = 64
 	// hostPause is the time for which a host is not asked for tunnels after it opened none.
 	hostPause = time.Second
 )
@@ -55,10 +57,20 @@
 	mu sync.Mutex
 	// pausedUntil is the boot time until which a host is not asked for tunnels, by name.
 	pausedUntil map[string]time.Duration
+	// relays holds whether allowed regions have a host that may be asked for tunnels, by the
+	// key of the regions.
+	relays map[string]relayHosts
+}
+
+// relayHosts says whether allowed regions have a host that may be asked for tunnels, as found
+// at a boot time.
+type relayHosts struct {
+	hasHost bool
+	foundAt time.Duration
 }
 
 func newPathFinder(h *Host) *pathFinder {
-	return &pathFinder{host: h, direct: wire.Dialer(), pausedUntil: map[string]time.Duration{}}
+	return &pathFinder{host: h, direct: wire.Dialer(), pausedUntil: map[string]time.Duration{}, relays: map[string]relayHosts{}}
 }
 
 // DialContext connects to the target at an address.
@@ -206,7 +218,21 @@
 	if !allowed.Restricted {
 		return p.available()
 	}
-	return len(p.unpausedIn(allowed)) > 0
+	now, key := wire.BootTime(), allowed.Key()
+	p.mu.Lock()
+	known, ok := p.relays[key]
+	p.mu.Unlock()
+	if ok && now-known.foundAt < availableTTL {
+		return known.hasHost
+	}
+	hasHost := len(p.unpausedIn(allowed)) > 0
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.relays) >= maxRelaySets {
+		clear(p.relays)
+	}
+	p.relays[key] = relayHosts{hasHost: hasHost, foundAt: now}
+	return hasHost
 }
 
 // relayedConn is a connection through another host.
