Weigh fetches against the measured time to read a prompt

Cause: a fetch was taken if it cost less than 0.04 ms a token, whatever the engines' speed. At engines that read a token in 0.013 ms that sends long parts over links between regions for 0.2 s, on which other fetches wait; a quarter of them was discarded after 350 ms. Change: once the prefill of a service is measured, a fetch has to take less than 1.5 times the time of reading, or 15 ms as before. A fetch may also take three times as long as reading, so that long parts are not discarded too early.

--- a/internal/kvcat/fetchlimit_test.go
+++ b/internal/kvcat/fetchlimit_test.go
@@ -1,37 +1,66 @@
 package kvcat
 
 import (
+	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"sesamehill.example/sesamehill/internal/proxy"
 )
 
 // Guards against requests that are late because they wait for a fetch that is discarded
 // then, while the engine could have read the prompt in time.
 func TestFetchLimit(t *testing.T) {
-	script, err := os.ReadFile("testdata/fetchlimit.txt")
+	playScript(t, "testdata/fetchlimit.txt", func(given string) string {
+		var expectedMs, readMs float64
+		var left string
+		scan(t, given, &expectedMs, &readMs, &left)
+		remaining, err := time.ParseDuration(left)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fetchLimit(expectedMs, readMs, remaining).String()
+	})
+}
+
+// Guards against fetches over slow links, which keep the link of the store from others, of
+// what the engines read in a shorter time.
+func TestFetchPays(t *testing.T) {
+	playScript(t, "testdata/fetchpays.txt", func(given string) string {
+		var tokens int
+		var fetchMs, prefillMs float64
+		scan(t, given, &tokens, &fetchMs, &prefillMs)
+		if fetchPays(tokens, fetchMs, 1, recomputeMs(&proxy.Prompt{PrefillMs: prefillMs})) {
+			return "yes"
+		}
+		return "no"
+	})
+}
+
+// playScript plays the lines "GIVEN => WANT: LOAD" of a file.
+func playScript(t *testing.T, file string, play func(given string) string) {
+	t.Helper()
+	script, err := os.ReadFile(file) //nolint:gosec // a file of this package
 	if err != nil {
 		t.Fatal(err)
 	}
 	for line := range strings.Lines(string(script)) {
-		given, want, ok := strings.Cut(line, " => ")
+		given, want, ok := strings.Cut(strings.TrimSpace(line), " => ")
 		if !ok {
 			continue
 		}
-		want, load, _ := strings.Cut(strings.TrimSpace(want), ": ")
-		expected, left, _ := strings.Cut(given, " ")
-		expectedMs, err := strconv.ParseFloat(expected, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		remaining, err := time.ParseDuration(left)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := fetchLimit(expectedMs, remaining).String(); got != want {
-			t.Errorf("%s: a fetch may take %s, want %s", load, got, want)
+		want, load, _ := strings.Cut(want, ": ")
+		if got := play(given); got != want {
+			t.Errorf("%s: got %s, want %s", load, got, want)
 		}
 	}
 }
+
+func scan(t *testing.T, text string, values ...any) {
+	t.Helper()
+	if _, err := fmt.Sscan(text, values...); err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+}
--- a/internal/kvcat/plan.go
+++ b/internal/kvcat/plan.go
@@ -17,9 +17,11 @@
 const (
 	otherZoneFactor   = 2
 	otherRegionFactor = 10
-	// recomputeMsPerToken is the cost of recomputing one token. A fetch that takes
-	// at most alwaysFetchMs is always preferred, unless the store is slow.
+	// recomputeMsPerToken is the cost of recomputing one token while the speed of the
+	// engines is not measured, recomputeFactor that in multiples of the measured time. A
+	// fetch that takes at most alwaysFetchMs is always preferred, unless the store is slow.
 	recomputeMsPerToken = 0.04
+	recomputeFactor     = 1.5
 	alwaysFetchMs       = 15
 	// fetchDeadlineFactor sets the deadline of a fetch as a multiple of its
 	// expected time, minFetchDeadline is the lower limit.
@@ -27,9 +29,13 @@
 	minFetchDeadline    = 350 * time.Millisecond
 	// fetchLatencyShare is the share of the time left until the answer is late that a
 	// fetch may take, so that the engine can still read the prompt in time. A fetch gets
-	// minFetchFactor times its expected time in any case.
+	// minFetchFactor times its expected time and readFactor times that of reading in any
+	// case.
 	fetchLatencyShare = 0.35
 	minFetchFactor    = 1.5
+	readFactor        = 3
+	// defaultReadMs is the time to prefill a token while it is not measured.
+	defaultReadMs = 1.0 / 64
 	// maxSaveSlowdown is the slowdown above which a store is sent no saves.
 	maxSaveSlowdown = 2.5
 	// defaultFetchMsPerToken is the time to fetch a token if the configuration
@@ -54,6 +60,8 @@
 	// affinityKey is the ID of the last shared part.
 	affinityKey string
 	tokens      int
+	// recomputeMs is the cost of recomputing one token.
+	recomputeMs float64
 	parts       []cachedPart
 	now         time.Duration
 }
@@ -77,7 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.snapshot()
-	h := &cachedParts{catalog: c, namespace: namespace, now: m.now}
+	h := &cachedParts{catalog: c, namespace: namespace, now: m.now, recomputeMs: recomputeMs(p)}
 	for _, part := range p.Shared() {
 		h.affinityKey = part.ID
 		h.tokens += part.Tokens
@@ -109,7 +117,7 @@
 			continue
 		}
 		ms := c.fetchTimeMs(s, part.tokens, factor)
-		if !fetchPays(part.tokens, ms, s.slowdown) {
+		if !fetchPays(part.tokens, ms, s.slowdown, h.recomputeMs) {
 			continue
 		}
 		stored += part.tokens
@@ -126,8 +134,16 @@
 
 // fetchPays reports whether fetching a part is better than recomputing it, which
 // takes time of the engine and delays other requests there.
-func fetchPays(tokens int, ms, slowdown float64) bool {
-	return ms < float64(tokens)*recomputeMsPerToken+alwaysFetchMs/slowdown
+func fetchPays(tokens int, ms, slowdown, recomputeMs float64) bool {
+	return ms < float64(tokens)*recomputeMs+alwaysFetchMs/slowdown
+}
+
+// recomputeMs returns the cost of recomputing one token of a prompt.
+func recomputeMs(p *proxy.Prompt) float64 {
+	if p.PrefillMs <= 0 {
+		return recomputeMsPerToken
+	}
+	return recomputeFactor * p.PrefillMs
 }
 
 // FetchMs returns the expected time to fetch a number of tokens from a store in the
@@ -150,14 +166,15 @@
 	}
 	shared := p.Shared()
 	resident := c.resident(t.ID, namespace, shared, m.now)
-	fetches, totalMs := false, 0.0
+	fetches, fetched, totalMs := false, 0, 0.0
 	for i, part := range shared {
 		key := Key{namespace, part.ID}
 		s, factor, stored := c.nearest(c.storesWith(key, m), t.Zone)
 		if stored {
-			if partMs := c.fetchTimeMs(s, part.Tokens, factor); fetch && fetchPays(part.Tokens, partMs, s.slowdown) {
+			if partMs := c.fetchTimeMs(s, part.Tokens, factor); fetch && fetchPays(part.Tokens, partMs, s.slowdown, recomputeMs(p)) {
 				plan.Fetch[i] = s.Address
 				fetches = true
+				fetched += part.Tokens
 				totalMs += partMs
 				continue
 			}
@@ -180,7 +197,7 @@
 		}
 	}
 	if fetches && c.hasOffset {
-		limit := fetchLimit(totalMs, p.LatencyLeft)
+		limit := fetchLimit(totalMs, float64(fetched)*readMs(p), p.LatencyLeft)
 		plan.FetchDeadlineMs = m.now.Milliseconds() + c.offset + limit.Milliseconds()
 		plan.FetchMs = totalMs
 	}
@@ -193,16 +210,27 @@
 	return plan
 }
 
-// fetchLimit returns how long a fetch with an expected time may take for a request that is
-// late after a time; zero if that is unknown or over. An engine discards a fetch that takes
-// longer, and reads the prompt then.
-func fetchLimit(expectedMs float64, left time.Duration) time.Duration {
-	expected := time.Duration(expectedMs * float64(time.Millisecond))
+// fetchLimit returns how long a fetch may take that is expected to take a time, in place of
+// reading the parts in another one, for a request that is late after a third one; zero if
+// that is unknown or over. An engine discards a fetch that takes longer, and reads the
+// prompt then.
+func fetchLimit(expectedMs, readMs float64, left time.Duration) time.Duration {
+	expected := millis(expectedMs)
 	limit := min(max(fetchDeadlineFactor*expected, minFetchDeadline), MaxFetchTime)
 	if left <= 0 {
 		return limit
 	}
-	return min(limit, max(time.Duration(fetchLatencyShare*float64(left)), time.Duration(minFetchFactor*float64(expected))))
+	return min(limit, max(time.Duration(fetchLatencyShare*float64(left)), millis(minFetchFactor*expectedMs), millis(readFactor*readMs)))
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// readMs returns the time to prefill one token of a prompt.
+func readMs(p *proxy.Prompt) float64 {
+	if p.PrefillMs <= 0 {
+		return defaultReadMs
+	}
+	return p.PrefillMs
 }
 
 // resident reports whether the shared parts of a prompt are probably resident at a
--- a/internal/proxy/speed.go
+++ b/internal/proxy/speed.go
@@ -43,6 +43,9 @@
 // costsOf returns the cost model for requests to the service of a job.
 func (p *Proxy) costsOf(j *job) place.Costs {
 	s := p.speeds.Service(j.service.Name, wire.BootTime())
+	if j.Prompt != nil {
+		j.Prompt.PrefillMs = s.PrefillMs
+	}
 	return p.costs.For(p.hosts()).WithSpeed(s.PrefillMs, s.PlainMs)
 }
 
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -27,6 +27,8 @@
 	// LatencyLeft is the time left until the first event is late; zero if that is unknown or
 	// over.
 	LatencyLeft time.Duration
+	// PrefillMs is the measured time to prefill a token; zero if it is not known.
+	PrefillMs float64
 }
 
 // Shared returns the parts that other requests may have in common: all but the last
