Measure the speed of a service over a minute

Cause: at the measured prefill of one service spread from 0.009 to 0.05 ms over hosts and times. Change: a half-life of a minute and 40 attempts until it is known.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -32,11 +32,11 @@
 const (
 	// serviceHalfLife and targetHalfLife are the times in which measurements of a service
 	// and of one of its targets lose half of their weight.
-	serviceHalfLife = 20 * time.Second
+	serviceHalfLife = time.Minute
 	targetHalfLife  = 10 * time.Second
 	// minPrefills and minPlain are the weights of measurements from which on the speed of a
 	// service is known, minOwn that of a target.
-	minPrefills = 20
+	minPrefills = 40
 	minPlain    = 20
 	minOwn      = 4
 	// Slowdowns are bounded, as they steer requests away from targets: faster ones than
