Leave prompts with kept parts at their engine, whatever the waits are

If reading the parts again costs more than the way, all such requests may go to the zone now; shares and quotas hold for the others.

--- a/internal/zones/planner.go
+++ b/internal/zones/planner.go
@@ -42,6 +42,9 @@
 	OwnZone Reason = "own zone"
 	// Shared is open: leaving pays, and the key is in the share that goes.
 	Shared Reason = "in the share that goes there"
+	// Kept is open: reading the prompt's shared parts again costs more than the way to the
+	// engine that keeps them.
+	Kept Reason = "its prompt is kept at one engine of all zones"
 	// NotShared is closed: the key is in the share that stays.
 	NotShared Reason = "in the share that stays"
 	// Overflow is open to requests for which the own zone has no room.
@@ -55,7 +58,7 @@
 )
 
 // Open reports whether a request may go to the zone.
-func (r Reason) Open() bool { return r == OwnZone || r == Shared || r == Overflow }
+func (r Reason) Open() bool { return r == OwnZone || r == Kept || r == Shared || r == Overflow }
 
 // Verdict is the decision on one request and one zone.
 type Verdict struct {
@@ -204,18 +207,12 @@
 	return min(max(share+step*min(max(gain/scale, -1), 1), 0), 1)
 }
 
-// sharesOf returns the shares of a kind of request. Without waits, requests of a new kind
-// go as far as their prompts are worth.
+// sharesOf returns the shares of a kind of request.
 func (p *Planner) sharesOf(k Kind, now time.Duration) *shares {
 	c := classOf(k)
 	s, ok := p.classes[c]
 	if !ok {
 		s = &shares{byZone: map[string]float64{}}
-		for name, z := range p.zones {
-			if name != p.own && z.Targets > 0 && c.kind().KeptMs > (1+deadShare)*z.WayMs(c.kind()) {
-				s.byZone[name] = 1
-			}
-		}
 		p.classes[c] = s
 	}
 	s.usedAt = now
@@ -235,11 +232,13 @@
 	share := p.sharesOf(k, now).byZone[zone]
 	v := Verdict{Share: share, GainMs: p.gain(k, z, p.ownWait()), WaitMs: z.wait, WayMs: z.WayMs(k)}
 	switch {
+	case z.keepsFor(k):
+		v.Reason, v.Share = Kept, 1
 	case share == 0 && v.GainMs <= 0:
 		v.Reason = NoGain
 	case position(key, zone) >= share:
 		v.Reason = NotShared
-	case !z.keepsFor(k) && !z.inQuota(key):
+	case !z.inQuota(key):
 		v.Reason = NoQuota
 	default:
 		v.Reason = Shared
@@ -273,7 +272,7 @@
 
 // keepsFor reports whether the way to the zone costs less than reading the shared parts of a
 // prompt again. Such requests are spread over the engines of all zones by their keys, so that
-// they need no quota.
+// they need neither a share nor a quota.
 func (z *zoneState) keepsFor(k Kind) bool { return k.KeptMs > z.WayMs(k) }
 
 // Sent counts a request that goes to a zone.
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -125,6 +125,26 @@
 	}
 }
 
+// Guards against requests that leave the engine which keeps their prompt as waits change, and
+// against those that go there for a prompt that is read sooner.
+func TestKeptPrompts(t *testing.T) {
+	p := zones.NewPlanner("a")
+	for now := time.Duration(0); now < 10*time.Second; now += updateEvery {
+		p.Update(now, zones.View{Hosts: 73, Zones: []zones.Zone{
+			{Name: "a", Targets: 10, Slots: 100, Calls: 20, ServiceMs: 200},
+			{Name: "b", Targets: 10, Slots: 100, Calls: 95, ServiceMs: 200, RoundTripMs: 40, ByteMs: 0.01},
+		}})
+		for key := range uint64(50) {
+			if v := p.Verdict(now, zones.Kind{Bytes: 10_000, KeptMs: 150}, key, "b"); v.Reason != zones.Kept {
+				t.Fatalf("a request leaves its prompt: %+v", v)
+			}
+			if v := p.Verdict(now, zones.Kind{Bytes: 10_000, KeptMs: 130}, key, "b"); v.Reason.Open() {
+				t.Fatalf("a request goes to a busy zone: %+v", v)
+			}
+		}
+	}
+}
+
 // Guards against prices that turn costs into gains or divide by zero.
 func TestPricesCheck(t *testing.T) {
 	good := zones.Prices{Zone: 0.01, Region: 0.02, Second: 0.001}
