--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -157,3 +157,21 @@
 		}
 	}
 }
+
+// Guards against a distance that follows a lost packet or an old measurement, and against
+// probes of a zone that follow each other.
+func TestTrips(t *testing.T) {
+	trips := zones.NewTrips()
+	trips.Record("a", 10*time.Millisecond, time.Second)
+	trips.Record("a", 3*time.Second, 2*time.Second)
+	if ms, age, ok := trips.RoundTripMs("a", 4*time.Second); !ok || ms != 10 || age != 3*time.Second {
+		t.Errorf("round trip of %g ms, age %s, known %t", ms, age, ok)
+	}
+	trips.Record("a", 50*time.Millisecond, time.Minute)
+	if ms, _, _ := trips.RoundTripMs("a", time.Minute); ms != 50 {
+		t.Errorf("round trip of %g ms after a long pause", ms)
+	}
+	if trips.Due("a", 61*time.Second) || !trips.Due("b", 0) || trips.Due("b", time.Second) {
+		t.Error("a zone is probed too early or too often")
+	}
+}
