--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -125,6 +125,26 @@
 	}
 }
 
+// Guards against requests that leave the engine which keeps their prompt as waits change, and
+// against those that go there for a prompt that is read sooner.
+func TestKeptPrompts(t *testing.T) {
+	p := zones.NewPlanner("a")
+	for now := time.Duration(0); now < 10*time.Second; now += updateEvery {
+		p.Update(now, zones.View{Hosts: 73, Zones: []zones.Zone{
+			{Name: "a", Targets: 10, Slots: 100, Calls: 20, ServiceMs: 200},
+			{Name: "b", Targets: 10, Slots: 100, Calls: 95, ServiceMs: 200, RoundTripMs: 40, ByteMs: 0.01},
+		}})
+		for key := range uint64(50) {
+			if v := p.Verdict(now, zones.Kind{Bytes: 10_000, KeptMs: 150}, key, "b"); v.Reason != zones.Kept {
+				t.Fatalf("a request leaves its prompt: %+v", v)
+			}
+			if v := p.Verdict(now, zones.Kind{Bytes: 10_000, KeptMs: 130}, key, "b"); v.Reason.Open() {
+				t.Fatalf("a request goes to a busy zone: %+v", v)
+			}
+		}
+	}
+}
+
 // Guards against prices that turn costs into gains or divide by zero.
 func TestPricesCheck(t *testing.T) {
 	good := zones.Prices{Zone: 0.01, Region: 0.02, Second: 0.001}
@@ -137,3 +157,21 @@
 		}
 	}
 }
+
+// Guards against a distance that follows a lost packet or an old measurement, and against
+// probes of a zone that follow each other.
+func TestTrips(t *testing.T) {
+	trips := zones.NewTrips()
+	trips.Record("a", 10*time.Millisecond, time.Second)
+	trips.Record("a", 3*time.Second, 2*time.Second)
+	if ms, age, ok := trips.RoundTripMs("a", 4*time.Second); !ok || ms != 10 || age != 3*time.Second {
+		t.Errorf("round trip of %g ms, age %s, known %t", ms, age, ok)
+	}
+	trips.Record("a", 50*time.Millisecond, time.Minute)
+	if ms, _, _ := trips.RoundTripMs("a", time.Minute); ms != 50 {
+		t.Errorf("round trip of %g ms after a long pause", ms)
+	}
+	if trips.Due("a", 61*time.Second) || !trips.Due("b", 0) || trips.Due("b", time.Second) {
+		t.Error("a zone is probed too early or too often")
+	}
+}
