Keep room at engines for more urgent requests

Patient large requests filled the memory, and small urgent ones waited there for the end of a run.

A request now leaves free what kinds with an earlier latency target, at no lower priority, ask of an engine within half a second, and prefers engines that leave free what all kinds ask. Requests past their target count with their deadline, so that they yield at all hosts.

--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -87,6 +87,8 @@
 	zones *zonePlan
 	// answerBytes is the length of the answer that the caller has got.
 	answerBytes int
+	// engines is the number of targets that were eligible at the last choice.
+	engines int
 	// waitingSince is the boot time at which the request was last queued; zero
 	// before that.
 	waitingSince time.Duration
--- /dev/null
+++ b/internal/proxy/room.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"time"
+
+	"sesamehill.example/sesamehill/internal/place"
+	"sesamehill.example/sesamehill/internal/queue"
+	"sesamehill.example/sesamehill/internal/room"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+// keep returns the targets for which ok is set.
+func (s selection) keep(ok []bool) selection {
+	var out selection
+	for i, k := range ok {
+		if k {
+			out.targets, out.candidates = append(out.targets, s.targets[i]), append(out.candidates, s.candidates[i])
+		}
+	}
+	return out
+}
+
+// engines returns what the targets hold and can hold.
+func (s selection) engines(k place.Costs) []room.Engine {
+	out := make([]room.Engine, len(s.candidates))
+	for i, c := range s.candidates {
+		out[i] = room.Engine{
+			Held:  room.Load{Calls: float64(c.Calls), Tokens: float64(c.Tokens)},
+			Limit: room.Load{Calls: float64(c.Slots), Tokens: k.MemoryShare * float64(c.Room)},
+		}
+	}
+	return out
+}
+
+// selectWithRoom chooses an engine whose room is not reserved for more urgent requests, and
+// rather one that is not about to be full.
+func (p *Proxy) selectWithRoom(j *job, s selection) selection {
+	now, demand := wire.BootTime(), &p.waitQueue(j.service.Name).demand
+	reserve := demand.Reserve(j.kind(now), p.hosts(), j.engines, now).Scale(j.patience(now))
+	admitted := s.keep(room.Admit(s.engines(j.costs), j.ask(), reserve))
+	if len(admitted.targets) == 0 {
+		p.Metrics.Count("kept out by reserve")
+		s.choice = place.Full{}
+		return s
+	}
+	preferred := admitted.keep(room.Admit(admitted.engines(j.costs), j.ask(), demand.Unseen(p.hosts(), j.engines, now)))
+	preferred.choice = p.pickCandidate(j, preferred.candidates)
+	if _, ok := preferred.choice.(place.Selected); ok {
+		return preferred
+	}
+	admitted.choice = p.pickCandidate(j, admitted.candidates)
+	return admitted
+}
+
+// sharesRoom reports whether the rules of package room apply to a request. Where a few hosts
+// share the engines, they know the calls of each other early enough, and the cost decides.
+func (j *job) sharesRoom() bool {
+	return j.Prompt != nil && j.service.Engine != nil && j.costs.Choices > 0 && !j.binding.bound
+}
+
+// patience is the share of the time for which a request may wait that is left. The reserve
+// shrinks with it, so that nobody is kept out forever.
+func (j *job) patience(now time.Duration) float64 {
+	limit := queue.Latest(j.waitingSince, j.deadline) - j.waitingSince
+	if j.waitingSince == 0 || limit <= 0 {
+		return 0
+	}
+	return max(1-float64(now-j.waitingSince)/float64(limit), 0)
+}
+
+// ask is what a request asks of an engine.
+func (j *job) ask() room.Load {
+	return room.Load{Calls: 1, Tokens: float64(j.Prompt.InputTokens + j.Prompt.MaxOutputTokens)}
+}
+
+// kind is what the caller needs. A request past its latency target yields to those that can
+// still meet theirs, at all hosts: all that is left of its target is its deadline.
+func (j *job) kind(now time.Duration) room.Kind {
+	target := j.route.LatencyTarget
+	if now > j.Arrived+target {
+		target = max(target, j.deadline-j.Arrived)
+	}
+	return room.Kind{Priority: j.priority(), Target: target}
+}
+
+// recordDemand records a request that arrives.
+func (p *Proxy) recordDemand(j *job, now time.Duration) {
+	if j.Prompt != nil && j.deliveries == 0 {
+		p.waitQueue(j.service.Name).demand.Arrived(j.kind(j.Arrived), j.ask(), now)
+	}
+}
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -11,6 +11,7 @@
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
+	"sesamehill.example/sesamehill/internal/room"
 	"sesamehill.example/sesamehill/internal/safego"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -69,6 +70,7 @@
 	waiters []*waiter
 	rates   queue.Rates
 	shares  queue.Shares
+	demand  room.Demand
 }
 
 // waitQueue returns the queue of a service. The caller holds placementMu.
@@ -139,6 +141,7 @@
 		return false
 	}
 	w.job.waitingSince = wire.BootTime()
+	p.recordDemand(w.job, w.job.waitingSince)
 	q.waiters = append(q.waiters, w)
 	p.dispatch(q)
 	return true
@@ -373,7 +376,7 @@
 // selectFrom chooses among the eligible targets: in the zones that are open to the request,
 // and if they have no room in those that take what overflows. It reserves nothing.
 func (p *Proxy) selectFrom(j *job, eligible []fleet.Status) selection {
-	j.zones = p.planZones(j)
+	j.zones, j.engines = p.planZones(j), len(eligible)
 	if j.zones == nil {
 		return p.selectAmong(j, eligible)
 	}
@@ -391,6 +394,9 @@
 	for i, t := range targets {
 		s.candidates[i] = p.candidate(j, t, lookups)
 	}
+	if j.sharesRoom() && len(targets) > 0 {
+		return p.selectWithRoom(j, s)
+	}
 	s.choice = p.pickCandidate(j, s.candidates)
 	return s
 }
--- /dev/null
+++ b/internal/room/doc.go
@@ -0,0 +1,21 @@
+// Package room decides which engines have room for a request, beyond what each of them could
+// hold at most.
+//
+// An engine has several resources: slots and memory in tokens, which a request holds until
+// it ends. Hosts see the calls of each other late, so that an engine holds more than a host
+// knows. Two rules follow from the measured demand:
+//
+//   - A less urgent request leaves free what more urgent ones are expected to take before the
+//     host hears of them. The reserve follows the demand, so that others use it while there
+//     is none, and it never ends a run.
+//   - Any request prefers engines that leave free what all others are expected to take, as an
+//     engine whose memory is full makes every request wait for the end of a run.
+//
+// Both are pure functions of plain values.
+//
+// # Usage
+//
+//	demand.Arrived(kind, ask, now)
+//	free := room.Admit(engines, ask, demand.Reserve(kind, hosts, len(engines), now))
+//	preferred := room.Admit(engines, ask, demand.Unseen(hosts, len(engines), now))
+package room
