--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -131,6 +131,7 @@
 			z.Room += s.Engine.CapacityTokens
 		}
 	}
+	// The other hosts of the zone are taken to have as many waiting requests as this one.
 	if own := byZone[p.leaving.own]; own != nil {
 		own.Waiting = len(p.waitQueues[s.Name]) * max(v.Hosts/max(len(byZone), 1), 1)
 	}
--- a/internal/zones/price.go
+++ b/internal/zones/price.go
@@ -40,9 +40,9 @@
 	return nil
 }
 
-// ZoneMs returns the price of a byte between zones of a region, RegionMs that of a byte
-// between regions, in milliseconds of a caller's wait.
+// ZoneMs returns the price of a byte between zones of a region in milliseconds of a caller's
+// wait.
 func (p Prices) ZoneMs() float64 { return p.Zone / bytesPerGB / p.Second * msPerSecond }
 
-// RegionMs is described at ZoneMs.
+// RegionMs returns the price of a byte between regions in milliseconds of a caller's wait.
 func (p Prices) RegionMs() float64 { return p.Region / bytesPerGB / p.Second * msPerSecond }
