--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"sesamehill.example/sesamehill/internal/evac"
+	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 )
 
@@ -77,6 +79,12 @@
 	return c.received[peer]
 }
 
+// zones holds the evacuated zones of a host.
+type zones struct{ *evac.Log }
+
+func (z zones) EvacuationView() *evac.View                 { return z.View(0) }
+func (z zones) RecordEvacuationView(_ string, v evac.View) { z.Merge(v, 0) }
+
 // Guards against hosts that receive nothing from each other, or treat a host as
 // registered that is not.
 var _ = Describe("an exchange", func() {
@@ -84,6 +92,7 @@
 	var fleets [2]*fleet.Fleet
 	var rosters [2]*roster
 	var versions [2]*configs
+	var evacuated [2]zones
 	BeforeEach(func() {
 		ctx, stop := context.WithCancel(context.Background())
 		var running sync.WaitGroup
@@ -95,11 +104,12 @@
 			addresses[i] = freeAddress()
 			fleets[i], rosters[i] = fleet.New(), &roster{}
 			versions[i] = &configs{own: uint64(7 + i), received: map[string]uint64{}}
+			evacuated[i] = zones{evac.New()}
 			fleets[i].Put(fleet.Target{ID: "e", Service: "llm", Address: "10.0.0.1:80"})
 		}
 		for i := range addresses {
 			peers := func() Topology { return Topology{SameRegion: []string{addresses[1-i]}} }
-			e := New(addresses[i], string(rune('a'+i)), fleets[i], peers, WithRoster(rosters[i]), WithConfigs(versions[i]))
+			e := New(addresses[i], string(rune('a'+i)), fleets[i], peers, WithRoster(rosters[i]), WithConfigs(versions[i]), WithEvacuations(evacuated[i]))
 			running.Go(func() {
 				defer GinkgoRecover()
 				Expect(e.Run(ctx)).To(Succeed())
@@ -120,6 +130,18 @@
 		Expect(rosters[0].count()).To(BeZero())
 	})
 
+	// Guards against a host that cannot read the platform and sends requests to a zone which
+	// other hosts know as evacuated, or to none that was taken back.
+	It("sends the evacuated zones", func() {
+		at := func(version uint64) feed.Position { return feed.Position{Version: version} }
+		evacuated[0].ApplyList(nil, at(3), 0)
+		evacuated[0].ApplyChanges([]evac.Change{{Zone: "z", Evacuated: true, At: at(5)}}, at(5), 0)
+		Eventually(func() bool { return evacuated[1].Evacuated("z", 0) }, "3s", "10ms").Should(BeTrue())
+		evacuated[0].ApplyChanges([]evac.Change{{Zone: "z", At: at(6)}}, at(6), 0)
+		Eventually(func() bool { return evacuated[1].Evacuated("z", 0) }, "3s", "10ms").Should(BeFalse())
+		Expect((&Message{Host: "a", Evacuated: &evac.View{HeldMs: map[string]int64{"z": 1 << 60}}}).Check()).To(HaveOccurred())
+	})
+
 	// Guards against hosts that do not learn that another host has a newer operator
 	// configuration, or where to fetch it.
 	It("sends the version of the operator configuration, with the address of its host", func() {
