Send only a share of the free room while room is short

A host now sends within half a second no more than its share of the room that it sees, while less than twice what arrives in that time is free.

--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -16,6 +16,7 @@
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
+	"sesamehill.example/sesamehill/internal/room"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -89,6 +90,8 @@
 	answerBytes int
 	// engines is the number of targets that were eligible at the last choice.
 	engines int
+	// free is the free room that the last choice saw; zero unless room is short.
+	free room.Load
 	// waitingSince is the boot time at which the request was last queued; zero
 	// before that.
 	waitingSince time.Duration
--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -35,7 +35,8 @@
 // selectWithRoom chooses an engine whose room is not reserved for more urgent requests, and
 // rather one that is not about to be full.
 func (p *Proxy) selectWithRoom(j *job, s selection) selection {
-	now, demand := wire.BootTime(), &p.waitQueue(j.service.Name).demand
+	now, q := wire.BootTime(), p.waitQueue(j.service.Name)
+	demand := &q.demand
 	reserve := demand.Reserve(j.kind(now), p.hosts(), j.engines, now).Scale(j.patience(now))
 	admitted := s.keep(room.Admit(s.engines(j.costs), j.ask(), reserve))
 	if len(admitted.targets) == 0 {
@@ -43,6 +44,12 @@
 		s.choice = place.Full{}
 		return s
 	}
+	if wait := q.paceWait(j, s, p.hosts(), now); wait > 0 {
+		p.Metrics.Count("kept out by pace")
+		p.dispatchAfter(wait)
+		s.choice = place.Full{}
+		return s
+	}
 	preferred := admitted.keep(room.Admit(admitted.engines(j.costs), j.ask(), demand.Unseen(p.hosts(), j.engines, now)))
 	preferred.choice = p.pickCandidate(j, preferred.candidates)
 	if _, ok := preferred.choice.(place.Selected); ok {
@@ -52,6 +59,24 @@
 	return admitted
 }
 
+// paceWait returns how long the host has to wait until it may send a request to one of some
+// engines, because room is short and other hosts see the same room. Its share is its part of
+// the calls in flight.
+func (q *waitQueue) paceWait(j *job, s selection, hosts int, now time.Duration) time.Duration {
+	j.free = room.Load{}
+	free := room.Free(s.engines(j.costs))
+	if !room.Short(free, q.demand.Unseen(hosts, 1, now)) {
+		return 0
+	}
+	own, total := 1, hosts
+	for _, t := range s.targets {
+		own += t.InFlight.Calls
+		total += t.InFlight.Calls + t.OthersInFlight.Calls
+	}
+	j.free = free
+	return q.pace.Wait(j.ask(), free, float64(own)/float64(total), now)
+}
+
 // sharesRoom reports whether the rules of package room apply to a request. Where a few hosts
 // share the engines, they know the calls of each other early enough, and the cost decides.
 func (j *job) sharesRoom() bool {
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -71,6 +71,7 @@
 	rates   queue.Rates
 	shares  queue.Shares
 	demand  room.Demand
+	pace    room.Pace
 }
 
 // waitQueue returns the queue of a service. The caller holds placementMu.
@@ -207,6 +208,9 @@
 			q.waiters = append(q.waiters, w)
 			continue
 		case granted:
+			if w.job.free != (room.Load{}) {
+				q.pace.Sent(w.job.ask(), w.job.free)
+			}
 			pass.Granted(w.item)
 			q.recordGrant(w, now)
 		}
--- a/internal/room/doc.go
+++ b/internal/room/doc.go
@@ -3,19 +3,24 @@
 //
 // An engine has several resources: slots and memory in tokens, which a request holds until
 // it ends. Hosts see the calls of each other late, so that an engine holds more than a host
-// knows. Two rules follow from the measured demand:
+// knows. Three rules follow from the measured demand:
 //
 //   - A less urgent request leaves free what more urgent ones are expected to take before the
 //     host hears of them. The reserve follows the demand, so that others use it while there
 //     is none, and it never ends a run.
+//
 //   - Any request prefers engines that leave free what all others are expected to take, as an
 //     engine whose memory is full makes every request wait for the end of a run.
 //
-// Both are pure functions of plain values.
+//   - While room is short, a host sends no more than its share of the room that it sees, as
+//     all hosts see the same room and would fill it many times over.
+//
+// All are pure functions of plain values.
 //
 // # Usage
 //
 //	demand.Arrived(kind, ask, now)
 //	free := room.Admit(engines, ask, demand.Reserve(kind, hosts, len(engines), now))
 //	preferred := room.Admit(engines, ask, demand.Unseen(hosts, len(engines), now))
+//	wait := pace.Wait(ask, room.Free(engines), share, now)
 package room
