--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -33,7 +33,8 @@
 }
 
 // selectWithRoom chooses an engine whose room is not reserved for more urgent requests, and
-// rather one that is not about to be full.
+// rather one that is not about to be full. While room is short it chooses none once the host
+// has used its share.
 func (p *Proxy) selectWithRoom(j *job, s selection) selection {
 	now, q := wire.BootTime(), p.waitQueue(j.service.Name)
 	demand := &q.demand
@@ -60,21 +61,20 @@
 }
 
 // paceWait returns how long the host has to wait until it may send a request to one of some
-// engines, because room is short and other hosts see the same room. Its share is its part of
-// the calls in flight.
+// engines, because room is short and other hosts see the same room.
 func (q *waitQueue) paceWait(j *job, s selection, hosts int, now time.Duration) time.Duration {
 	j.free = room.Load{}
 	free := room.Free(s.engines(j.costs))
 	if !room.Short(free, q.demand.Unseen(hosts, 1, now)) {
 		return 0
 	}
-	own, total := 1, hosts
+	own, total := 0, 0
 	for _, t := range s.targets {
 		own += t.InFlight.Calls
 		total += t.InFlight.Calls + t.OthersInFlight.Calls
 	}
 	j.free = free
-	return q.pace.Wait(j.ask(), free, float64(own)/float64(total), now)
+	return q.pace.Wait(j.ask(), free, room.Share(own, total, hosts), now)
 }
 
 // sharesRoom reports whether the rules of package room apply to a request. Where a few hosts
--- a/internal/room/pace.go
+++ b/internal/room/pace.go
@@ -37,6 +37,17 @@
 	return free.Calls < shortFactor*unseen.Calls || free.Tokens < shortFactor*unseen.Tokens
 }
 
+// Share is the part of the free room that is for a host with some of the calls in flight:
+// half of the room goes by the calls, which follow the load of each host, and half in equal
+// parts, so that a host that has just started gets room too.
+func Share(own, total, hosts int) float64 {
+	equal := 1 / float64(max(hosts, 1))
+	if total == 0 {
+		return equal
+	}
+	return (float64(own)/float64(total) + equal) / 2
+}
+
 // Wait returns how long a host with a share of all requests has to wait until it may send
 // one more; zero if it may now.
 func (p *Pace) Wait(ask, free Load, share float64, now time.Duration) time.Duration {
--- a/internal/room/pace_test.go
+++ b/internal/room/pace_test.go
@@ -76,4 +76,9 @@
 		Expect(most).To(BeNumerically("<", 2*16))
 		Expect(mean).To(BeNumerically(">", 0.6*16))
 	})
+
+	It("leave room for one that has just started", func() {
+		Expect(room.Share(0, 1500, 80)).To(BeNumerically("~", 0.5/80))
+		Expect(room.Share(30, 1500, 50)).To(BeNumerically("~", 0.02))
+	})
 })
