--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// limitedBodyTime is the time for a body at the path /limited.
+const limitedBodyTime = 40 * time.Second
+
 // testServer is a server behind a guard.
 type testServer struct {
 	g       *WithT
@@ -105,6 +108,9 @@
 	s := &testServer{g: NewWithT(t), guard: NewGuard(WithLimits(l)), release: make(chan struct{})}
 	server := &http.Server{ConnState: s.guard.Track, ConnContext: s.guard.Context, ReadHeaderTimeout: time.Minute}
 	server.Handler = s.guard.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/limited" {
+			LimitBody(r.Context(), limitedBodyTime)
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -181,6 +187,34 @@
 	s.g.Expect(s.served.Load()).To(BeZero())
 }
 
+// Guards against a body that is cut before the time of its request has passed, and one that
+// is held for longer.
+func TestBodyTime(t *testing.T) {
+	s := newTestServer(t, testLimits)
+	const request = "POST /limited HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1"
+	inTime, late := s.dial(t, request), s.dial(t, request)
+	s.g.Eventually(func() int {
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		limited := 0
+		for c := range s.guard.conns {
+			if c.bodyTime.Load() > 0 {
+				limited++
+			}
+		}
+		return limited
+	}).Should(Equal(2))
+	s.guard.now.Add(int64(limitedBodyTime - time.Second))
+	s.guard.Sweep()
+	_, err := io.WriteString(inTime, "2")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(status(inTime)).To(Equal(http.StatusOK))
+	s.guard.now.Add(int64(2 * time.Second))
+	s.guard.Sweep()
+	s.g.Expect(status(late)).To(BeZero())
+	s.g.Expect(s.served.Load()).To(Equal(int32(1)))
+}
+
 // Guards against heads that are decoded without room, whole requests that are closed for
 // others, and refusals of requests that ran.
 func TestBudgetOfWholeRequests(t *testing.T) {
