--- a/internal/caller/doc.go
+++ b/internal/caller/doc.go
@@ -10,10 +10,10 @@
 //
 // # Usage
 //
-//	g := caller.NewGuard(caller.WithLimits(limits), caller.WithRefusal(refusal))
+//	g := caller.NewGuard(caller.WithLimits(limits))
 //	server := &http.Server{Handler: g.Handler(h), ConnState: g.Track, ConnContext: g.Context}
 //	go server.Serve(g.Listener(l))
-//	for range ticker.C {
+//	for range time.Tick(caller.SweepInterval) {
 //		g.Sweep()
 //	}
 //
