Let net/http keep the body of a request as it was

Cause: the guard replaced the body in the request of net/http, which then waited for the body of a caller that sends it only when asked to (Expect: 100-continue) before it answered. Change: the handler gets a copy of the request with the guard's body.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -108,6 +108,9 @@
 	s := &testServer{g: NewWithT(t), guard: NewGuard(WithLimits(l)), release: make(chan struct{})}
 	server := &http.Server{ConnState: s.guard.Track, ConnContext: s.guard.Context, ReadHeaderTimeout: time.Minute}
 	server.Handler = s.guard.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unread" {
+			return
+		}
 		if r.URL.Path == "/limited" {
 			LimitBody(r.Context(), limitedBodyTime)
 		}
@@ -187,6 +190,13 @@
 	s.g.Expect(s.served.Load()).To(BeZero())
 }
 
+// Guards against an answer that waits for a body which its caller sends only when asked to.
+func TestUnreadBody(t *testing.T) {
+	s := newTestServer(t, testLimits)
+	c := s.dial(t, "POST /unread HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	s.g.Expect(status(c)).To(Equal(http.StatusOK))
+}
+
 // Guards against a body that is cut before the time of its request has passed, and one that
 // is held for longer.
 func TestBodyTime(t *testing.T) {
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -280,18 +280,23 @@
 // of that request gets no answer, so it must not run.
 func (*Guard) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && !c.beginRequest(r) {
-			panic(http.ErrAbortHandler)
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			if r, ok = c.beginRequest(r); !ok {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
-// beginRequest starts the phase after the head of a request.
-func (c *Conn) beginRequest(r *http.Request) bool {
+// beginRequest starts the phase after the head of a request, and returns the request for its
+// handler. net/http keeps its own one, as it depends on the type of the body whether it waits
+// for a body that was not read.
+func (c *Conn) beginRequest(r *http.Request) (*http.Request, bool) {
 	if r.ContentLength == 0 {
-		return c.begin(Whole)
+		return r, c.begin(Whole)
 	}
-	r.Body = &bodyReader{ReadCloser: r.Body, conn: c}
-	return c.begin(Body)
+	handled := r.WithContext(r.Context())
+	handled.Body = &bodyReader{ReadCloser: r.Body, conn: c}
+	return handled, c.begin(Body)
 }
