--- a/internal/kvcat/plan.go
+++ b/internal/kvcat/plan.go
@@ -19,25 +19,17 @@
 const (
 	otherZoneFactor   = 2
 	otherRegionFactor = 10
-	// recomputeMsPerToken is the cost of recomputing one token while the speed of the
-	// engines is not measured, recomputeFactor that in multiples of the measured time. A
-	// fetch that takes at most alwaysFetchMs is always preferred, unless the store is slow.
+	// recomputeMsPerToken is the cost of recomputing one token. A fetch that takes at most
+	// alwaysFetchMs is always preferred, unless the store is slow. A fetch from another
+	// region has to take less than farReadFactor times the measured time of reading, too, as
+	// it keeps a slow link from others for as long.
 	recomputeMsPerToken = 0.04
-	recomputeFactor     = 1.5
+	farReadFactor       = 1.5
 	alwaysFetchMs       = 15
 	// fetchDeadlineFactor sets the deadline of a fetch as a multiple of its
 	// expected time, minFetchDeadline is the lower limit.
 	fetchDeadlineFactor = 3
 	minFetchDeadline    = 350 * time.Millisecond
-	// fetchLatencyShare is the share of the time left until the answer is late that a
-	// fetch may take, so that the engine can still read the prompt in time. A fetch gets
-	// minFetchFactor times its expected time and readFactor times that of reading in any
-	// case.
-	fetchLatencyShare = 0.35
-	minFetchFactor    = 1.5
-	readFactor        = 3
-	// defaultReadMs is the time to prefill a token while it is not measured.
-	defaultReadMs = 1.0 / 64
 	// maxSaveSlowdown is the slowdown above which a store is sent no saves.
 	maxSaveSlowdown = 2.5
 	// defaultFetchMsPerToken is the time to fetch a token if the configuration
@@ -70,10 +62,10 @@
 	// affinityKey is the ID of the last shared part.
 	affinityKey string
 	tokens      int
-	// recomputeMs is the cost of recomputing one token.
-	recomputeMs float64
-	parts       []cachedPart
-	now         time.Duration
+	// prefillMs is the measured time to prefill a token; zero if it is unknown.
+	prefillMs float64
+	parts     []cachedPart
+	now       time.Duration
 }
 
 // cachedPart is a shared part and the stores that hold it according to their fresh
@@ -96,7 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.snapshot()
-	h := &cachedParts{catalog: c, namespace: namespace, now: m.now, recomputeMs: recomputeMs(p)}
+	h := &cachedParts{catalog: c, namespace: namespace, now: m.now, prefillMs: p.PrefillMs}
 	for _, part := range p.Shared() {
 		h.affinityKey = part.ID
 		h.tokens += part.Tokens
@@ -128,7 +120,7 @@
 			continue
 		}
 		ms := c.fetchTimeMs(s, part.tokens, factor)
-		if !fetchPays(part.tokens, ms, s.slowdown, h.recomputeMs) {
+		if !fetchPays(part.tokens, ms, s.slowdown, factor, h.prefillMs) {
 			continue
 		}
 		stored += part.tokens
@@ -144,17 +136,14 @@
 }
 
 // fetchPays reports whether fetching a part is better than recomputing it, which
-// takes time of the engine and delays other requests there.
-func fetchPays(tokens int, ms, slowdown, recomputeMs float64) bool {
-	return ms < float64(tokens)*recomputeMs+alwaysFetchMs/slowdown
-}
-
-// recomputeMs returns the cost of recomputing one token of a prompt.
-func recomputeMs(p *proxy.Prompt) float64 {
-	if p.PrefillMs <= 0 {
-		return recomputeMsPerToken
+// takes time of the engine and delays other requests there. The factor is that of the
+// distance.
+func fetchPays(tokens int, ms, slowdown, factor, prefillMs float64) bool {
+	recomputeMs := recomputeMsPerToken
+	if factor >= otherRegionFactor && prefillMs > 0 {
+		recomputeMs = min(recomputeMs, farReadFactor*prefillMs)
 	}
-	return recomputeFactor * p.PrefillMs
+	return ms < float64(tokens)*recomputeMs+alwaysFetchMs/slowdown
 }
 
 // FetchMs returns the expected time to fetch a number of tokens from a store in the
@@ -181,15 +170,14 @@
 	}
 	shared := p.Shared()
 	resident := c.resident(t.ID, namespace, shared, m.now)
-	fetches, fetched, totalMs := false, 0, 0.0
+	fetches, totalMs := false, 0.0
 	for i, part := range shared {
 		key := Key{namespace, part.ID}
 		s, factor, stored := c.nearest(c.storesWith(key, allowed, m), t.Zone)
 		if stored {
-			if partMs := c.fetchTimeMs(s, part.Tokens, factor); fetch && fetchPays(part.Tokens, partMs, s.slowdown, recomputeMs(p)) {
+			if partMs := c.fetchTimeMs(s, part.Tokens, factor); fetch && fetchPays(part.Tokens, partMs, s.slowdown, factor, p.PrefillMs) {
 				plan.Fetch[i] = s.Address
 				fetches = true
-				fetched += part.Tokens
 				totalMs += partMs
 				continue
 			}
@@ -212,7 +200,7 @@
 		}
 	}
 	if fetches && c.hasOffset {
-		limit := fetchLimit(totalMs, float64(fetched)*readMs(p), p.LatencyLeft)
+		limit := min(max(time.Duration(fetchDeadlineFactor*totalMs*float64(time.Millisecond)), minFetchDeadline), MaxFetchTime)
 		plan.FetchDeadlineMs = m.now.Milliseconds() + c.offset + limit.Milliseconds()
 		plan.FetchMs = totalMs
 	}
@@ -225,29 +213,6 @@
 	return plan
 }
 
-// fetchLimit returns how long a fetch may take that is expected to take a time, in place of
-// reading the parts in another one, for a request that is late after a third one; zero if
-// that is unknown or over. An engine discards a fetch that takes longer, and reads the
-// prompt then.
-func fetchLimit(expectedMs, readMs float64, left time.Duration) time.Duration {
-	expected := millis(expectedMs)
-	limit := min(max(fetchDeadlineFactor*expected, minFetchDeadline), MaxFetchTime)
-	if left <= 0 {
-		return limit
-	}
-	return min(limit, max(time.Duration(fetchLatencyShare*float64(left)), millis(minFetchFactor*expectedMs), millis(readFactor*readMs)))
-}
-
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-// readMs returns the time to prefill one token of a prompt.
-func readMs(p *proxy.Prompt) float64 {
-	if p.PrefillMs <= 0 {
-		return defaultReadMs
-	}
-	return p.PrefillMs
-}
-
 // resident reports whether the shared parts of a prompt are probably resident at a
 // target.
 func (c *Catalog) resident(target, namespace string, shared []proxy.Part, now time.Duration) bool {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -44,7 +44,6 @@
 	if j.Prompt != nil {
 		version := s.Versions[j.Prompt.Model]
 		namespace := p.planner.Namespace(j.Prompt.Model, version, j.account, j.allowed)
-		j.Prompt.LatencyLeft = max(j.route.LatencyTarget-(chosen.sent-j.Arrived), 0)
 		chosen.plan = p.planner.Plan(j.Prompt, namespace, version, *s.Target)
 		w := promptWork(j.Prompt)
 		load.Tokens = w.Shared + w.Own + j.Prompt.MaxOutputTokens
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -25,9 +25,6 @@
 	// InputTokens is the length of the prompt, MaxOutputTokens the most that the
 	// engine may generate.
 	InputTokens, MaxOutputTokens int
-	// LatencyLeft is the time left until the first event is late; zero if that is unknown or
-	// over.
-	LatencyLeft time.Duration
 	// PrefillMs is the measured time to prefill a token; zero if it is not known.
 	PrefillMs float64
 }
