Let full regions hold up no requests that another region has room for

A dispatch tries the waiting requests of a service in one order and stops at six without room, or once the first of them was overtaken by twice its size. Each set of allowed regions has its own pass. A grant counts as overtaking only for requests that may be served in its region, and a request gets no room in a region once it would overtake the requests of another set there too often.

--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -52,6 +52,9 @@
 	service *opconf.Service
 	// allowed are the regions in which the request may be served, cached and stored.
 	allowed homes.Regions
+	// kept are the regions whose room is kept for waiting requests that may be served only
+	// there. The dispatch that tries the request sets them.
+	kept []homes.Regions
 	// deadline is the boot time at which the caller gets the final answer at the
 	// latest.
 	deadline    time.Duration
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -9,6 +9,7 @@
 
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/room"
@@ -187,17 +188,19 @@
 func (p *Proxy) dispatch(q *waitQueue) {
 	now := wire.BootTime()
 	waiters := q.inOrder(now)
-	pass := queue.NewPass()
+	all := passes{}
 	q.waiters = q.waiters[:0]
 	for _, w := range waiters {
+		pass := all.of(w.job.allowed)
 		if !pass.Try(w.item) {
 			w.missed = true
 			q.waiters = append(q.waiters, w)
 			continue
 		}
+		w.job.kept = all.keptRegions(w.item, w.job.allowed)
 		v := p.safeChoose(w.job)
 		_, w.onTrial = v.(onTrial)
-		switch v.(type) {
+		switch v := v.(type) {
 		case nil:
 			w.missed = true
 			pass.Missed(&w.item)
@@ -207,7 +210,7 @@
 			q.waiters = append(q.waiters, w)
 			continue
 		case granted:
-			pass.Granted(w.item)
+			all.granted(w.item, w.job.allowed, p.region(v.Zone))
 			q.recordGrant(w, now)
 		}
 		w.result <- v
@@ -324,6 +327,9 @@
 	if wait := p.sendWait(s); wait > 0 {
 		return limited{wait}
 	}
+	if region := p.region(s.Zone); slices.ContainsFunc(j.kept, func(r homes.Regions) bool { return r.Allows(region) }) {
+		return limited{limitPollInterval}
+	}
 	return nil
 }
 
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -33,6 +33,12 @@
 	case float64(i.Size) > p.limit && i.Size > 1:
 		return false
 	}
+	return p.MayOvertake(i)
+}
+
+// MayOvertake reports whether a request may get room before those that have found none. Each
+// of them lets only a bounded amount of work pass.
+func (p *Pass) MayOvertake(i Item) bool {
 	for _, m := range p.missed {
 		if m.Overtaken+i.Size > maxOvertaken*m.Size {
 			return false
