Read the settings under their lock in members

A reload replaces the settings while placements ask for this host's share of the limit of a cold target, and members read them without the lock. A torn read could give a share from the wrong zone. All readers that run beside reloads now use currentSettings.

Measured: the new spec under go test -race ./internal/server reports the race before the change ('race detected during execution of test'); the package passes with -race now.

--- a/internal/server/hubs.go
+++ b/internal/server/hubs.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		v.live = append(v.live, name)
-		region := m.host.settings.Zones[row.Zone]
+		region := m.host.currentSettings().Zones[row.Zone]
 		v.rankedByRegion[region] = append(v.rankedByRegion[region], row)
 	}
 	slices.Sort(v.live)
@@ -151,7 +151,7 @@
 func (m *members) storeHubAddresses() (addresses []string, self bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v, own := m.currentView(), m.host.settings
+	v, own := m.currentView(), m.host.currentSettings()
 	if len(v.live) <= maxDirectHosts {
 		return nil, true
 	}
@@ -167,7 +167,7 @@
 func (m *members) regionHostCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.currentView().rankedByRegion[m.host.settings.Region])
+	return len(m.currentView().rankedByRegion[m.host.currentSettings().Region])
 }
 
 // isLeader reports whether this host follows the platform tables for the other hosts
@@ -175,7 +175,7 @@
 func (m *members) isLeader() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v, own := m.currentView(), m.host.settings
+	v, own := m.currentView(), m.host.currentSettings()
 	return len(v.live) > maxDirectHosts && v.leaderOf(own.Region).Host == own.Name
 }
 
@@ -183,7 +183,7 @@
 func (m *members) isHub() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v, own := m.currentView(), m.host.settings
+	v, own := m.currentView(), m.host.currentSettings()
 	return len(v.live) > maxDirectHosts && containsHost(v.hubsOf(own.Region), own.Name)
 }
 
@@ -191,7 +191,7 @@
 func (m *members) topology() gossip.Topology {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v, own := m.currentView(), m.host.settings
+	v, own := m.currentView(), m.host.currentSettings()
 	useHubs := len(v.live) > maxDirectHosts
 	if useHubs && !containsHost(v.hubsOf(own.Region), own.Name) {
 		return gossip.Topology{Hubs: own.hubOrder(v.hubsOf(own.Region))}
@@ -223,7 +223,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	contenders := m.currentView().contenders
-	if i := slices.Index(contenders, m.host.settings.Name); i >= 0 {
+	if i := slices.Index(contenders, m.host.currentSettings().Name); i >= 0 {
 		return i
 	}
 	return len(contenders)
@@ -239,6 +239,6 @@
 	if m.readAt == 0 {
 		return false
 	}
-	v, own := m.currentView(), m.host.settings.Name
+	v, own := m.currentView(), m.host.currentSettings().Name
 	return slices.Contains(v.contenders, own) || !slices.Contains(v.live, own)
 }
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -223,7 +223,7 @@
 		m.readPredecessor(ctx)
 	}
 	m.writes++
-	own := m.host.settings
+	own := m.host.currentSettings()
 	row := memberRow{
 		Host: own.Name, Zone: own.Zone, Peer: own.Peer, StartedAtMs: m.startedAtMs, Writes: m.writes, Capacity: own.relayCapacity(),
 		LifeMillis: (missedWrites * interval).Milliseconds(), StoresStreams: true,
@@ -288,7 +288,7 @@
 	}
 	var names []string
 	for _, name := range m.currentView().live {
-		if name != m.host.settings.Name {
+		if name != m.host.currentSettings().Name {
 			names = append(names, name)
 		}
 	}
@@ -433,7 +433,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, row := range m.rows {
-		if name != m.host.settings.Name && !m.expired(row) {
+		if name != m.host.currentSettings().Name && !m.expired(row) {
 			return false
 		}
 	}
@@ -460,13 +460,12 @@
 // share returns this host's share of the limits of a target. It is unsettled while other
 // hosts may not count this one. Before the hosts are known, it has no share.
 func (m *members) share(t *fleet.Target) rates.Share {
-	settled := m.Registered()
+	settled, own := m.Registered(), m.host.currentSettings()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.readAt == 0 {
 		return rates.Share{}
 	}
-	own := m.host.settings
 	self := rates.Host{Name: own.Name, Distance: own.distanceBetween(own.Zone, t.Zone)}
 	others := make([]rates.Host, 0, len(m.rows))
 	for _, hosts := range m.currentView().rankedByRegion {
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -17,6 +17,7 @@
 
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/kvcat"
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/table"
@@ -55,6 +56,17 @@
 		Expect(m.hostCount()).To(Equal(3))
 	})
 
+	// Guards against settings that are read without their lock, as a placement asks for its
+	// share while the settings are reloaded. The race detector finds it.
+	It("share limits while the settings are reloaded", func() {
+		addRows(time.Minute, "a", "b")
+		m.readAt = time.Minute
+		var reload sync.WaitGroup
+		reload.Go(func() { m.host.setSettings(m.host.currentSettings()) })
+		Expect(m.share(&fleet.Target{ID: "i-1", Zone: "sul-a"}).Hosts).To(Equal(max(2, minAssumedHosts)))
+		reload.Wait()
+	})
+
 	It("assume several hosts before the first read", func() {
 		Expect(m.hostCount()).To(Equal(assumedHosts))
 	})
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -291,7 +291,7 @@
 	var others []observedRow
 	for _, hosts := range m.currentView().rankedByRegion {
 		for _, h := range hosts {
-			if h.Host != m.host.settings.Name && h.Peer != "" {
+			if h.Host != m.host.currentSettings().Name && h.Peer != "" {
 				others = append(others, h)
 			}
 		}
--- a/internal/server/predecessor.go
+++ b/internal/server/predecessor.go
@@ -15,7 +15,7 @@
 func (m *members) readPredecessor(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
 	defer cancel()
-	name := m.host.settings.Name
+	name := m.host.currentSettings().Name
 	rows, err := m.table.Read(ctx, name)
 	if err != nil || len(rows) != 1 || rows[0].Version == 0 {
 		return
--- a/internal/server/stores.go
+++ b/internal/server/stores.go
@@ -180,5 +180,5 @@
 
 // isLocal reports whether a store is in the region of this host.
 func (w *storeWatcher) isLocal(address string) bool {
-	return w.host.settings.distance(w.host.catalog.StoreZone(address)) != place.OtherRegion
+	return w.host.currentSettings().distance(w.host.catalog.StoreZone(address)) != place.OtherRegion
 }
--- a/internal/server/streamrows.go
+++ b/internal/server/streamrows.go
@@ -184,7 +184,7 @@
 func (s *streamStore) put(ctx context.Context, index int, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	key := fmt.Sprintf("%s/%d/%d", s.host.settings.Name, s.host.members.startedAtMs, index)
+	key := fmt.Sprintf("%s/%d/%d", s.host.currentSettings().Name, s.host.members.startedAtMs, index)
 	return s.table.Put(ctx, key, value)
 }
 
