Take targets out of reach for cold until they were asked

A target to which connections failed is still used as a last resort while all others of its service are out of reach too. If it had restarted, it got requests without a bound, as only the probe asks whether it is cold, and the first answer even ended its exclusion without a probe. It now takes the cold rate until the probe has asked it. An answer to a request that began before the failure still ends the exclusion: the target has not restarted since then.

--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -33,8 +33,12 @@
 	*testing.T
 	now   time.Duration
 	fleet *fleet.Fleet
+	// attempt is the one that "begin" began.
+	attempt *fleet.Attempt
 }
 
+var outcomes = map[string]fleet.Outcome{"unreachable": fleet.Unreachable, "served": fleet.Served}
+
 func newColdScript(t *testing.T) *coldScript {
 	c := &coldScript{T: t}
 	c.fleet = fleet.New(
@@ -60,6 +64,18 @@
 		c.fleet.RecordCold(id, c.number(start), c.duration(words[3]))
 	case "assume":
 		c.fleet.AssumeCold(id)
+	case "end":
+		c.fleet.Begin(id, fleet.InFlight{}).End(outcomes[words[3]])
+	case "begin":
+		c.attempt = c.fleet.Begin(id, fleet.InFlight{})
+	case "finish":
+		c.attempt.End(outcomes[words[3]])
+	case "probe":
+		for _, t := range c.fleet.DueProbes() {
+			if t.ID == id {
+				c.fleet.RecordProbe(t, true)
+			}
+		}
 	case "names":
 		c.fleet.RecordRateLimit(id, float64(c.number(words[3])))
 	case "limit":
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,8 @@
 	connectFailures int
 	suspected       bool
 	probing         bool
+	// doubtedAt is when a connection last failed, or another host last reported that.
+	doubtedAt time.Duration
 	// connectedAt is when the target last became reachable again.
 	connectedAt time.Duration
 	// replyVersions are the weight versions in the newest reply that changed them,
--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -56,8 +56,10 @@
 	state *state
 	// load is the part of the target's in-flight load that this attempt still
 	// accounts for.
-	load  InFlight
-	ended bool
+	load InFlight
+	// startedAt is the boot time at which the attempt began.
+	startedAt time.Duration
+	ended     bool
 }
 
 // Begin counts a new attempt at a target. The attempt has no effect if the target
@@ -71,7 +73,7 @@
 	}
 	load.Calls = 1
 	s.inFlight = s.inFlight.Add(load)
-	return &Attempt{fleet: f, state: s, load: load}
+	return &Attempt{fleet: f, state: s, load: load, startedAt: f.now()}
 }
 
 // RecordData records that the target has sent data. Its prompt is prefilled by
@@ -121,17 +123,18 @@
 	}
 	a.ended = true
 	a.state.inFlight = a.state.inFlight.Sub(a.load)
-	a.fleet.recordOutcome(a.state, o)
+	a.fleet.recordOutcome(a.state, o, a.startedAt)
 }
 
-func (f *Fleet) recordOutcome(s *state, o Outcome) {
+func (f *Fleet) recordOutcome(s *state, o Outcome, startedAt time.Duration) {
 	now := f.now()
 	switch o {
 	case Served:
 		s.updateFailureRate(0, now)
 		// A host that is cut off is served on connections that have lived on or lead through
-		// other hosts. Only probes show that new connections succeed again.
-		if (s.connectFailures > 0 || s.suspected) && !isolated(f.services[s.Service]) {
+		// other hosts. Only probes show that new connections succeed again. They also ask a
+		// target that may have restarted since whether it is cold.
+		if s.doubted() && !isolated(f.services[s.Service]) && (startedAt < s.doubtedAt || !f.CanBeCold(s.Service)) {
 			f.markReachable(s, now)
 		}
 	case Failed:
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -18,7 +18,7 @@
 // for a growing time.
 func (f *Fleet) markUnreachable(s *state, now time.Duration) {
 	s.connectFailures++
-	s.downUntil = now + downTime(s.connectFailures)
+	s.downUntil, s.doubtedAt = now+downTime(s.connectFailures), now
 	s.suspected, s.probing = false, false
 	f.onChange(Change{Target: *s.Target, Event: "unreachable"})
 }
@@ -41,6 +41,10 @@
 // down reports whether a target is excluded.
 func (s *state) down(now time.Duration) bool { return s.probing || now < s.downUntil }
 
+// doubted reports whether a target may be unreachable, or may have restarted meanwhile, until a
+// probe succeeds.
+func (s *state) doubted() bool { return s.connectFailures > 0 || s.suspected }
+
 // Suspect records the targets that another host cannot reach. Each one from which
 // this host has had no data or connection lately is excluded until a probe of this
 // host succeeds, so that not every host has to lose requests there.
@@ -82,7 +86,7 @@
 
 // suspect excludes a target until a probe of this host succeeds.
 func (f *Fleet) suspect(s *state, now time.Duration, by string) {
-	s.suspected, s.downUntil = true, now+minDownTime
+	s.suspected, s.downUntil, s.doubtedAt = true, now+minDownTime, now
 	f.onChange(Change{Target: *s.Target, Event: "suspected by " + by})
 }
 
