Tell no caller to stay away for an hour

A target that only other hosts send to, or whose share is not known yet, counted as one that this host may use in an hour. If the other targets were full or gone, the refusal of the request bore that hour as its Retry-After. Such a target is now passed over, as the caller may be served by another host at once.

Measured: TestRetryAfterWithoutTurn; before, both cases answer '1h0m0'. go test ./internal/proxy ./internal/rates passes.

--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -17,8 +17,9 @@
 // that are gone leave theirs behind.
 const maxBuckets = 4096
 
-// noTurn is the wait for a target to which other hosts send.
-const noTurn = time.Hour
+// noTurn is the wait for a target to which only other hosts send. Callers are not told to stay
+// away for as long.
+const noTurn = rates.MaxWait
 
 const (
 	// refusalShare is the share of the refusal limit of a target which the hosts
--- a/internal/proxy/limit_test.go
+++ b/internal/proxy/limit_test.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// Guards against callers that are told to stay away for an hour, as only other hosts send to
+// the target, or as this host does not know the others yet.
+func TestRetryAfterWithoutTurn(t *testing.T) {
+	f := fleet.New()
+	f.Replace([]fleet.Target{{ID: "a", Service: "s"}})
+	f.RecordRefusalLimit("a", 1)
+	unknown := hostOfRank(0, 0)
+	unknown.fleet = fleet.New(fleet.WithColdness(func(string) fleet.Coldness { return fleet.Coldness{Time: time.Minute, PerSecond: 10} }))
+	unknown.fleet.Replace([]fleet.Target{{ID: "cold", Service: "s", WarmupLeft: time.Minute}})
+	last := hostOfRank(329, 330)
+	last.fleet = f
+	for name, p := range map[string]*Proxy{"last host": last, "unknown hosts": unknown} {
+		j := plainJob(name)
+		if _, ok := p.choose(j).(noTarget); !ok {
+			t.Errorf("%s: the request was not refused", name)
+		}
+		if got := p.retryAfter(j); got > time.Second {
+			t.Errorf("%s: the caller may retry after %s", name, got)
+		}
+	}
+}
+
 // plainJob returns a request of its own kind that carries no prompt.
 func plainJob(id string) *job {
 	return &job{
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -324,7 +324,10 @@
 	case p.outdated(j, s):
 		return passedOver{"its weights are too old"}
 	}
-	if wait := p.sendWait(s); wait > 0 {
+	switch wait := p.sendWait(s); {
+	case wait >= noTurn:
+		return passedOver{"only other hosts send to it now"}
+	case wait > 0:
 		return limited{wait}
 	}
 	if region := p.region(s.Zone); slices.ContainsFunc(j.kept, func(r homes.Regions) bool { return r.Allows(region) }) {
--- a/internal/rates/cold_test.go
+++ b/internal/rates/cold_test.go
@@ -145,7 +145,7 @@
 // started.
 func TestUnknownHostsSendNothing(t *testing.T) {
 	var b Bucket
-	if got := b.Wait(8, Share{}, start); got != maxWait {
-		t.Errorf("wait while the hosts are unknown is %s, want %s", got, maxWait)
+	if got := b.Wait(8, Share{}, start); got != MaxWait {
+		t.Errorf("wait while the hosts are unknown is %s, want %s", got, MaxWait)
 	}
 }
--- a/internal/rates/rates.go
+++ b/internal/rates/rates.go
@@ -46,10 +46,11 @@
 	// coldPart is the part of the rate of a cold target that hosts use, as their views of
 	// each other differ and more than the rate ends the target.
 	coldPart = 0.85
-	// maxWait is the wait under a limit that allows nothing.
-	maxWait = time.Hour
 )
 
+// MaxWait is the wait under a limit that allows nothing, and before the hosts are known.
+const MaxWait = time.Hour
+
 // ColdLimit returns the limit of a cold target that takes a number of requests a second.
 func ColdLimit(perSecond float64) float64 { return coldPart * perSecond }
 
@@ -91,17 +92,17 @@
 // Wait returns how long to wait before the next request; zero if it may be sent now.
 func (b *Bucket) Wait(limit float64, s Share, now time.Time) time.Duration {
 	if s.Hosts <= 0 {
-		return maxWait
+		return MaxWait
 	}
 	g := s.group(limit)
 	rate := g.limit / float64(g.hosts)
 	b.fill(rate, now)
 	if rate <= 0 {
-		return maxWait
+		return MaxWait
 	}
 	missing := max(0, 1-b.tokens) / rate
-	if missing > maxWait.Seconds() {
-		return maxWait
+	if missing > MaxWait.Seconds() {
+		return MaxWait
 	}
 	until := time.Duration(missing * float64(time.Second))
 	return until + g.turn(now.Add(until))
@@ -133,5 +134,5 @@
 	if position < part {
 		return 0
 	}
-	return min(time.Duration((1-position)*period*float64(time.Second))+time.Millisecond, maxWait)
+	return min(time.Duration((1-position)*period*float64(time.Second))+time.Millisecond, MaxWait)
 }
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -69,7 +69,7 @@
 		now := start.Add(time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "ms")) * time.Millisecond)
 		var b Bucket
 		wait := b.Wait(limit, s, now)
-		if again := b.Wait(limit, s, now.Add(wait+2*time.Millisecond)); again > 0 && wait < maxWait {
+		if again := b.Wait(limit, s, now.Add(wait+2*time.Millisecond)); again > 0 && wait < MaxWait {
 			t.Fatalf("after a wait of %s the request has to wait for another %s", wait, again)
 		}
 	})
@@ -79,8 +79,8 @@
 func TestExtremeLimits(t *testing.T) {
 	var b Bucket
 	s := Share{Rank: 0, Hosts: 6}
-	if got := b.Wait(0, s, start); got != maxWait {
-		t.Errorf("wait under a limit of 0 is %s, want %s", got, maxWait)
+	if got := b.Wait(0, s, start); got != MaxWait {
+		t.Errorf("wait under a limit of 0 is %s, want %s", got, MaxWait)
 	}
 	for i := range 1000 {
 		if got := b.Wait(math.MaxFloat64, s, start.Add(time.Duration(i)*time.Microsecond)); i > 0 && got != 0 {
