Predict waits from requests with the same allowed regions

The predicted wait counted all waiting requests of a service before one, and the rate at which any of them got room. While a region was full, requests that other regions can serve were refused at once whenever they found no room for a moment: in the new test the prediction was 20 s for the first request of its set. Rates and requests before are now kept by set of allowed regions.

Measured: TestFullRegionPredictsNoOtherWaits fails before and passes now; go test ./internal/proxy passes.

--- a/internal/proxy/passes_test.go
+++ b/internal/proxy/passes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/homes"
@@ -45,6 +46,30 @@
 	}
 }
 
+// Guards against requests that are refused because others wait long for a region that is full.
+func TestFullRegionPredictsNoOtherWaits(t *testing.T) {
+	p := New(nil, fleet.New())
+	q := p.waitQueue("s")
+	now := wire.BootTime()
+	add := func(id string, allowed homes.Regions, at, timeout time.Duration) *waiter {
+		w := &waiter{job: plainJob(id), result: make(chan waitOutcome, 1), missed: true}
+		w.job.allowed, w.job.Arrived, w.job.deadline = allowed, at, at+timeout
+		w.item = w.job.queueItem(at)
+		q.waiters = append(q.waiters, w)
+		return w
+	}
+	for n := range 20 {
+		add(fmt.Sprint("oslo-", n), homes.Of([]string{"oslo"}), now, time.Minute)
+	}
+	p.refuseHopeless(q, now)
+	now += 5 * time.Second
+	w := add("any", homes.Regions{}, now, 10*time.Second)
+	p.refuseHopeless(q, now)
+	if len(w.result) > 0 {
+		t.Errorf("the request got %#v", <-w.result)
+	}
+}
+
 // Guards against a large request with allowed regions that small ones of other sets overtake
 // forever in its regions, and against the work in other regions counting as that.
 func TestOvertakingInAllowedRegions(t *testing.T) {
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -69,16 +69,27 @@
 // waitQueue holds the requests that wait for capacity at the targets of a service.
 type waitQueue struct {
 	waiters []*waiter
-	rates   queue.Rates
-	shares  queue.Shares
-	demand  room.Demand
+	// rates holds the rates at which room was granted, by the key of the allowed regions.
+	rates  map[string]*queue.Rates
+	shares queue.Shares
+	demand room.Demand
+}
+
+// ratesOf returns the rates for the requests with a set of allowed regions.
+func (q *waitQueue) ratesOf(regionsKey string) *queue.Rates {
+	r, ok := q.rates[regionsKey]
+	if !ok {
+		r = &queue.Rates{}
+		q.rates[regionsKey] = r
+	}
+	return r
 }
 
 // waitQueue returns the queue of a service. The caller holds placementMu.
 func (p *Proxy) waitQueue(service string) *waitQueue {
 	q, ok := p.waitQueues[service]
 	if !ok {
-		q = &waitQueue{}
+		q = &waitQueue{rates: map[string]*queue.Rates{}}
 		p.waitQueues[service] = q
 	}
 	return q
@@ -236,27 +247,31 @@
 func (q *waitQueue) recordGrant(w *waiter, now time.Duration) {
 	q.shares.Placed(w.job.accountName(), w.item.Size, now)
 	if w.missed {
-		q.rates.Granted(w.item, now)
+		q.ratesOf(w.job.allowed.Key()).Granted(w.item, now)
 	}
 }
 
 // refuseHopeless refuses the waiting requests that would get room too late, by the rate at
-// which others got it. The waiters are in queue order.
+// which others with the same allowed regions got it. The waiters are in queue order.
 func (p *Proxy) refuseHopeless(q *waitQueue, now time.Duration) {
-	var before []queue.Item
+	before := map[string][]queue.Item{}
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		if w.onTrial {
 			return false
 		}
-		verdict, hopeless := queue.Judge(w.item, q.rates.Wait(before, w.item, now), now, randomFraction()).(queue.Refuse)
+		key := w.job.allowed.Key()
+		predicted := q.ratesOf(key).Wait(before[key], w.item, now)
+		verdict, hopeless := queue.Judge(w.item, predicted, now, randomFraction()).(queue.Refuse)
 		if hopeless {
 			w.result <- overloaded{verdict}
 			return true
 		}
-		before = append(before, w.item)
+		before[key] = append(before[key], w.item)
 		return false
 	})
-	q.rates.Observe(before, now)
+	for key, r := range q.rates {
+		r.Observe(before[key], now)
+	}
 }
 
 // waitLimit returns how long a request may wait for capacity.
