Give the wait for cold targets as Retry-After only if no other target is left

A request that found warm targets full was refused with the time until a cold target takes requests of this host again, which grows with the number of hosts: 1m42s in the new test, at rank 329 of 330, past the deadline of any caller. The wait now counts only if no target is eligible; otherwise the predicted wait, or the usual spread, is the time to return.

Measured: TestRetryAfterOfFullTarget fails before and passes now; go test ./internal/proxy and the tests of pauses in ./platform pass.

--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -115,10 +115,10 @@
 	p.explainQueue(j, e)
 	eligible, limitedFor := p.eligible(j)
 	s := p.selectFrom(j, eligible)
-	j.limitedFor = limitedFor
+	j.setLimitedFor(eligible, limitedFor)
 	best, sent := s.choice.(place.Selected)
 	_, full := s.choice.(place.Full)
-	retry := max(retryAfterMin, limitedFor).Milliseconds()
+	retry := max(retryAfterMin, j.limitedFor).Milliseconds()
 	switch {
 	case sent:
 		e.Outcome, e.Target = Sent, s.targets[best.Index].ID
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -96,7 +96,8 @@
 	// before that.
 	waitingSince time.Duration
 	// limitedFor is the shortest wait for a target that a rate limit or a pause kept from
-	// this request at the last choice; zero if there was none.
+	// this request at the last choice; zero if there was none, or if another target was
+	// eligible.
 	limitedFor time.Duration
 	// firstEventAt and lastEventAt are the boot times of the first and of the last event
 	// of the current attempt.
--- a/internal/proxy/limit_test.go
+++ b/internal/proxy/limit_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// Guards against callers that are told to stay away until a cold target takes requests of this
+// host again, though another target only has no room at the moment.
+func TestRetryAfterOfFullTarget(t *testing.T) {
+	p := hostOfRank(329, 330)
+	p.fleet = fleet.New(fleet.WithColdness(func(string) fleet.Coldness { return fleet.Coldness{Time: time.Minute, PerSecond: 10} }))
+	p.fleet.Replace([]fleet.Target{{ID: "cold", Service: "s", WarmupLeft: time.Minute}, {ID: "full", Service: "s", Slots: 1}})
+	p.fleet.SetRemoteInFlight("other", map[string]fleet.InFlight{"full": {Calls: 1000}}, fleet.Peer)
+	j := plainJob("a")
+	for n := range 2 { // the first one may be sent to the cold target
+		j = plainJob(fmt.Sprint(n))
+		p.choose(j)
+	}
+	if got := p.retryAfter(j); got > time.Second {
+		t.Errorf("the caller may retry after %s", got)
+	}
+}
+
 // plainJob returns a request of its own kind that carries no prompt.
 func plainJob(id string) *job {
 	return &job{
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -362,7 +362,7 @@
 	}
 	eligible, limitedFor := p.eligible(j)
 	v := p.chooseFrom(j, eligible)
-	j.limitedFor = limitedFor
+	j.setLimitedFor(eligible, limitedFor)
 	if _, ok := v.(granted); !ok && limitedFor > 0 && limitedFor < p.waitLimit(j) {
 		p.dispatchAfter(limitedFor)
 		return nil
@@ -370,6 +370,15 @@
 	return v
 }
 
+// setLimitedFor records the wait for targets with a limit, if no other target is eligible: a
+// refused caller need not stay away for as long if another one has no room at the moment.
+func (j *job) setLimitedFor(eligible []fleet.Status, limitedFor time.Duration) {
+	j.limitedFor = 0
+	if len(eligible) == 0 {
+		j.limitedFor = limitedFor
+	}
+}
+
 // chooseFrom reserves one of the eligible targets.
 func (p *Proxy) chooseFrom(j *job, eligible []fleet.Status) waitOutcome {
 	s := p.selectFrom(j, eligible)
