--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -53,6 +53,9 @@
 	service *opconf.Service
 	// allowed are the regions in which the request may be served, cached and stored.
 	allowed homes.Regions
+	// kept are the regions whose room is kept for waiting requests that may be served only
+	// there. The dispatch that tries the request sets them.
+	kept []homes.Regions
 	// deadline is the boot time at which the caller gets the final answer at the
 	// latest.
 	deadline    time.Duration
@@ -96,7 +99,8 @@
 	// before that.
 	waitingSince time.Duration
 	// limitedFor is the shortest wait for a target that a rate limit or a pause kept from
-	// this request at the last choice; zero if there was none.
+	// this request at the last choice; zero if there was none, or if another target was
+	// eligible.
 	limitedFor time.Duration
 	// firstEventAt and lastEventAt are the boot times of the first and of the last event
 	// of the current attempt.
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -9,6 +9,7 @@
 
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/homes"
 	"sesamehill.example/sesamehill/internal/place"
 	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/room"
@@ -68,17 +69,28 @@
 // waitQueue holds the requests that wait for capacity at the targets of a service.
 type waitQueue struct {
 	waiters []*waiter
-	rates   queue.Rates
-	shares  queue.Shares
-	demand  room.Demand
-	pace    room.Pace
+	// rates holds the rates at which room was granted, by the key of the allowed regions.
+	rates  map[string]*queue.Rates
+	shares queue.Shares
+	demand room.Demand
+	pace   room.Pace
+}
+
+// ratesOf returns the rates for the requests with a set of allowed regions.
+func (q *waitQueue) ratesOf(regionsKey string) *queue.Rates {
+	r, ok := q.rates[regionsKey]
+	if !ok {
+		r = &queue.Rates{}
+		q.rates[regionsKey] = r
+	}
+	return r
 }
 
 // waitQueue returns the queue of a service. The caller holds placementMu.
 func (p *Proxy) waitQueue(service string) *waitQueue {
 	q, ok := p.waitQueues[service]
 	if !ok {
-		q = &waitQueue{}
+		q = &waitQueue{rates: map[string]*queue.Rates{}}
 		p.waitQueues[service] = q
 	}
 	return q
@@ -188,17 +200,19 @@
 func (p *Proxy) dispatch(q *waitQueue) {
 	now := wire.BootTime()
 	waiters := q.inOrder(now)
-	pass := queue.NewPass()
+	all := passes{}
 	q.waiters = q.waiters[:0]
 	for _, w := range waiters {
+		pass := all.of(w.job.allowed)
 		if !pass.Try(w.item) {
 			w.missed = true
 			q.waiters = append(q.waiters, w)
 			continue
 		}
+		w.job.kept = all.keptRegions(w.item, w.job.allowed)
 		v := p.safeChoose(w.job)
 		_, w.onTrial = v.(onTrial)
-		switch v.(type) {
+		switch v := v.(type) {
 		case nil:
 			w.missed = true
 			pass.Missed(&w.item)
@@ -211,7 +225,7 @@
 			if w.job.free != (room.Load{}) {
 				q.pace.Sent(w.job.ask(), w.job.free)
 			}
-			pass.Granted(w.item)
+			all.granted(w.item, w.job.allowed, p.region(v.Zone))
 			q.recordGrant(w, now)
 		}
 		w.result <- v
@@ -237,27 +251,31 @@
 func (q *waitQueue) recordGrant(w *waiter, now time.Duration) {
 	q.shares.Placed(w.job.accountName(), w.item.Size, now)
 	if w.missed {
-		q.rates.Granted(w.item, now)
+		q.ratesOf(w.job.allowed.Key()).Granted(w.item, now)
 	}
 }
 
 // refuseHopeless refuses the waiting requests that would get room too late, by the rate at
-// which others got it. The waiters are in queue order.
+// which others with the same allowed regions got it. The waiters are in queue order.
 func (p *Proxy) refuseHopeless(q *waitQueue, now time.Duration) {
-	var before []queue.Item
+	before := map[string][]queue.Item{}
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		if w.onTrial {
 			return false
 		}
-		verdict, hopeless := queue.Judge(w.item, q.rates.Wait(before, w.item, now), now, randomFraction()).(queue.Refuse)
+		key := w.job.allowed.Key()
+		predicted := q.ratesOf(key).Wait(before[key], w.item, now)
+		verdict, hopeless := queue.Judge(w.item, predicted, now, randomFraction()).(queue.Refuse)
 		if hopeless {
 			w.result <- overloaded{verdict}
 			return true
 		}
-		before = append(before, w.item)
+		before[key] = append(before[key], w.item)
 		return false
 	})
-	q.rates.Observe(before, now)
+	for key, r := range q.rates {
+		r.Observe(before[key], now)
+	}
 }
 
 // waitLimit returns how long a request may wait for capacity.
@@ -325,9 +343,15 @@
 	case p.outdated(j, s):
 		return passedOver{"its weights are too old"}
 	}
-	if wait := p.sendWait(s); wait > 0 {
+	switch wait := p.sendWait(s); {
+	case wait >= noTurn:
+		return passedOver{"only other hosts send to it now"}
+	case wait > 0:
 		return limited{wait}
 	}
+	if region := p.region(s.Zone); slices.ContainsFunc(j.kept, func(r homes.Regions) bool { return r.Allows(region) }) {
+		return limited{limitPollInterval}
+	}
 	return nil
 }
 
@@ -342,7 +366,7 @@
 	}
 	eligible, limitedFor := p.eligible(j)
 	v := p.chooseFrom(j, eligible)
-	j.limitedFor = limitedFor
+	j.setLimitedFor(eligible, limitedFor)
 	if _, ok := v.(granted); !ok && limitedFor > 0 && limitedFor < p.waitLimit(j) {
 		p.dispatchAfter(limitedFor)
 		return nil
@@ -350,6 +374,15 @@
 	return v
 }
 
+// setLimitedFor records the wait for targets with a limit, if no other target is eligible: a
+// refused caller need not stay away for as long if another one has no room at the moment.
+func (j *job) setLimitedFor(eligible []fleet.Status, limitedFor time.Duration) {
+	j.limitedFor = 0
+	if len(eligible) == 0 {
+		j.limitedFor = limitedFor
+	}
+}
+
 // chooseFrom reserves one of the eligible targets.
 func (p *Proxy) chooseFrom(j *job, eligible []fleet.Status) waitOutcome {
 	s := p.selectFrom(j, eligible)
