Count no time as waited after the last request has left a queue

A request that left a queue at its time limit, or whose caller left, did not update the rates of the queue, and an empty queue is not dispatched. All time until the next request then counted as waited, without losing weight, so that the second request of each new queue was refused for seconds after it.

Record the remaining requests when one leaves, and let the time that has passed lose its weight.

--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -172,6 +172,7 @@
 	}
 	q := p.waitQueue(w.job.service.Name)
 	q.waiters = slices.DeleteFunc(q.waiters, func(other *waiter) bool { return other == w })
+	q.observe(wire.BootTime()) // without a waiter there is no dispatch that does
 	return waitExpired{queueTime: queueTime}
 }
 
@@ -255,6 +256,17 @@
 	}
 }
 
+// observe records which requests wait for a target from now on.
+func (q *waitQueue) observe(now time.Duration) {
+	var items []queue.Item
+	for _, w := range q.waiters {
+		if !w.onTrial {
+			items = append(items, w.item)
+		}
+	}
+	q.rates.Observe(items, now)
+}
+
 // refuseHopeless refuses the waiting requests that would get room too late, by the rate at
 // which others with the same allowed regions got it. The waiters are in queue order.
 func (p *Proxy) refuseHopeless(q *waitQueue, now time.Duration) {
--- a/internal/queue/rates.go
+++ b/internal/queue/rates.go
@@ -68,7 +68,8 @@
 	l.granted *= decay
 	l.waited = time.Duration(float64(l.waited) * decay)
 	if l.waiting {
-		l.waited += elapsed
+		// The time that has passed loses its weight as well.
+		l.waited += time.Duration((1 - decay) * float64(rateHalfLife) / math.Ln2)
 	}
 	l.at = now
 }
