Sum up the work before each waiting request once a dispatch

The predicted wait of each request was summed up over all requests before it, under the lock of the placement and with each arrival, so that the work grew with the square of the queue.

Keep the sums by size class while going through the queue.

--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -258,19 +258,37 @@
 
 // observe records which requests wait for a target from now on.
 func (q *waitQueue) observe(now time.Duration) {
-	var items []queue.Item
+	q.observeWaiting(q.workByRegions(), now)
+}
+
+// workByRegions returns the work of the waiting requests by the key of their allowed regions.
+func (q *waitQueue) workByRegions() map[string]queue.Waiting {
+	work := map[string]queue.Waiting{}
 	for _, w := range q.waiters {
 		if !w.onTrial {
-			items = append(items, w.item)
+			addWork(work, w)
 		}
 	}
-	q.rates.Observe(items, now)
+	return work
+}
+
+func addWork(work map[string]queue.Waiting, w *waiter) {
+	key := w.job.allowed.Key()
+	sum := work[key]
+	sum.Add(w.item)
+	work[key] = sum
+}
+
+func (q *waitQueue) observeWaiting(work map[string]queue.Waiting, now time.Duration) {
+	for key, r := range q.rates {
+		r.Observe(work[key], now)
+	}
 }
 
 // refuseHopeless refuses the waiting requests that would get room too late, by the rate at
 // which others with the same allowed regions got it. The waiters are in queue order.
 func (p *Proxy) refuseHopeless(q *waitQueue, now time.Duration) {
-	before := map[string][]queue.Item{}
+	before := map[string]queue.Waiting{}
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		if w.onTrial {
 			return false
@@ -282,12 +300,10 @@
 			w.result <- overloaded{verdict}
 			return true
 		}
-		before[key] = append(before[key], w.item)
+		addWork(before, w)
 		return false
 	})
-	for key, r := range q.rates {
-		r.Observe(before[key], now)
-	}
+	q.observeWaiting(before, now)
 }
 
 // waitLimit returns how long a request may wait for capacity.
--- a/internal/proxy/waitqueue_test.go
+++ b/internal/proxy/waitqueue_test.go
@@ -23,7 +23,9 @@
 		t.Fatalf("the request got %T, want waitExpired", v)
 	}
 	item := j.queueItem(wire.BootTime())
-	wait := w.proxy.waitQueue("app").rates.Wait([]queue.Item{item}, item, wire.BootTime()+10*time.Minute)
+	var before queue.Waiting
+	before.Add(item)
+	wait := w.proxy.waitQueue("app").ratesOf("").Wait(before, item, wire.BootTime()+10*time.Minute)
 	if wait > time.Second {
 		t.Errorf("ten minutes after the queue was empty, the predicted wait is %s", wait)
 	}
--- a/internal/queue/doc.go
+++ b/internal/queue/doc.go
@@ -23,7 +23,10 @@
 //		}
 //		// try to place items[i], then pass.Granted(items[i]) or pass.Missed(&items[i])
 //	}
+//	var before queue.Waiting
 //	for _, i := range waiting {
 //		verdict := queue.Judge(items[i], rates.Wait(before, items[i], now), now, rand.Float64())
+//		before.Add(items[i])
 //	}
+//	rates.Observe(before, now)
 package queue
--- a/internal/queue/rates.go
+++ b/internal/queue/rates.go
@@ -26,15 +26,17 @@
 	waiting bool
 }
 
-// Observe records which sizes wait from now on.
-func (r *Rates) Observe(waiting []Item, now time.Duration) {
-	var present [lanes]bool
-	for _, i := range waiting {
-		present[laneOf(i)] = true
-	}
+// Waiting is the work of waiting requests by size class. The zero value holds none.
+type Waiting struct{ work [lanes]float64 }
+
+// Add adds a request.
+func (w *Waiting) Add(i Item) { w.work[laneOf(i)] += float64(max(i.Size, 1)) }
+
+// Observe records which requests wait from now on.
+func (r *Rates) Observe(waiting Waiting, now time.Duration) {
 	for n := range r.lanes {
 		r.lanes[n].advance(now)
-		r.lanes[n].waiting = present[n]
+		r.lanes[n].waiting = waiting.work[n] > 0
 	}
 }
 
@@ -45,21 +47,15 @@
 	l.granted += float64(i.Size)
 }
 
-// Wait predicts how long a request waits with the given items before it in the order. The
+// Wait predicts how long a request waits with the given ones before it in the order. The
 // prediction is the shortest one that agrees with what was measured: it assumes that one of
 // them gets its room at this moment, so that it is zero for the first request and for a new
 // queue, and grows while nobody gets room.
-func (r *Rates) Wait(before []Item, i Item, now time.Duration) time.Duration {
+func (r *Rates) Wait(before Waiting, i Item, now time.Duration) time.Duration {
 	n := laneOf(i)
 	l := r.lanes[n]
 	l.advance(now)
-	work := 0.0
-	for _, b := range before {
-		if laneOf(b) == n {
-			work += float64(b.Size)
-		}
-	}
-	return time.Duration(work / (l.granted + float64(i.Size)) * float64(l.waited))
+	return time.Duration(before.work[n] / (l.granted + float64(max(i.Size, 1))) * float64(l.waited))
 }
 
 func (l *lane) advance(now time.Duration) {
--- a/internal/queue/rates_test.go
+++ b/internal/queue/rates_test.go
@@ -14,7 +14,9 @@
 var _ = It("predicts no longer waits the longer nothing is recorded", func() {
 	item := queue.Item{Size: 1}
 	var rates queue.Rates
-	rates.Observe([]queue.Item{item}, time.Second)
-	rates.Observe(nil, 10*time.Minute)
-	Expect(rates.Wait([]queue.Item{item}, item, 10*time.Minute)).To(BeNumerically("<", 3*time.Second))
+	var waiting queue.Waiting
+	waiting.Add(item)
+	rates.Observe(waiting, time.Second)
+	rates.Observe(queue.Waiting{}, 10*time.Minute)
+	Expect(rates.Wait(waiting, item, 10*time.Minute)).To(BeNumerically("<", 3*time.Second))
 })
--- a/internal/queue/replay_test.go
+++ b/internal/queue/replay_test.go
@@ -67,15 +67,17 @@
 			pass.Missed(item)
 		}
 	}
+	var before queue.Waiting
 	for _, item := range slices.DeleteFunc(items, func(i queue.Item) bool { return i.Size == 0 }) {
-		verdict, refuse := queue.Judge(item, r.rates.Wait(r.waiting, item, r.now), r.now, 0.5).(queue.Refuse)
+		verdict, refuse := queue.Judge(item, r.rates.Wait(before, item, r.now), r.now, 0.5).(queue.Refuse)
 		if refuse {
 			out = append(out, fmt.Sprintf("-%s(%d)", r.names[item.Arrived], verdict.RetryAfter.Milliseconds()))
 			continue
 		}
 		r.waiting = append(r.waiting, item)
+		before.Add(item)
 	}
-	r.rates.Observe(r.waiting, r.now)
+	r.rates.Observe(before, r.now)
 	return strings.Join(out, " ")
 }
 
