Explain kept room, predicted waits and full queues

An explanation gave the request no time of its arrival in the queue, so that no room counted as kept for more urgent requests: it named a target where the request itself waits. It also let requests wait that are refused at once by their predicted wait, passed over the share of the account and the limit of the queue, and named a software version or an open zone as the reason for engines with too little room.

Go through the same rules, on a copy of the measured demand. Both new tests failed before ("explained as sent, want waits"; "waits" in place of "refused").

--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -16,6 +16,9 @@
 // Outcome is what would happen to a request now.
 type Outcome string
 
+// littleRoomReason says why a target with a free slot may be no candidate.
+const littleRoomReason = "too little room, after what is kept for more urgent requests and for calls of other hosts"
+
 // Outcomes.
 const (
 	// Sent means that the request would go to Explanation.Target.
@@ -90,7 +93,7 @@
 	e.Service = j.service.Name
 	j.setDeadline(p.draining.Load())
 	j.fingerprint, j.parts = hashRequest(j), hashParts(j.Prompt)
-	j.costs = p.costsOf(j)
+	j.costs, j.waitingSince = p.costsOf(j), call.Arrived
 	if j.allowed.Excluded() {
 		e.Refusal = &Refusal{http.StatusServiceUnavailable, excludedReason, excludedRetryAfter.Milliseconds()}
 		return e
@@ -112,7 +115,16 @@
 func (p *Proxy) explainChoice(j *job, e *Explanation) {
 	p.placementMu.Lock()
 	defer p.placementMu.Unlock()
-	p.explainQueue(j, e)
+	q := p.waitQueue(j.service.Name)
+	if len(q.waiters) >= maxWaitingPerService {
+		e.Refusal = &Refusal{http.StatusServiceUnavailable, "too many requests wait for the service", retryAfterMin.Milliseconds()}
+		return
+	}
+	predicted := q.explainPlace(j, e)
+	demand := q.demand
+	q.demand = demand.Clone()
+	p.recordDemand(j, j.waitingSince)
+	defer func() { q.demand = demand }()
 	eligible, limitedFor := p.eligible(j)
 	s := p.selectFrom(j, eligible)
 	j.setLimitedFor(eligible, limitedFor)
@@ -125,6 +137,10 @@
 	case full, limitedFor > 0 && limitedFor < p.waitLimit(j):
 		e.Outcome, e.LimitMs = Waits, p.waitLimit(j).Milliseconds()
 		e.Refusal = &Refusal{http.StatusServiceUnavailable, "no target had capacity within " + p.waitLimit(j).Round(time.Millisecond).String(), retry}
+		if v, hopeless := predicted.(queue.Refuse); hopeless {
+			e.Outcome, e.LimitMs = Rejected, 0
+			e.Refusal = &Refusal{http.StatusServiceUnavailable, predictedWaitReason(v), max(v.RetryAfter, limitedFor).Milliseconds()}
+		}
 	default:
 		e.Refusal = &Refusal{http.StatusServiceUnavailable, p.noTargetReason(j), retry}
 	}
@@ -142,16 +158,29 @@
 	}
 }
 
-// explainQueue finds the place of a request among those that wait.
-func (p *Proxy) explainQueue(j *job, e *Explanation) {
-	waiting := p.waitQueue(j.service.Name).waiters
-	items := make([]queue.Item, 0, len(waiting)+1)
-	for _, w := range waiting {
+// explainPlace finds the place of a request among those that wait, and judges the wait that
+// it predicts there.
+func (q *waitQueue) explainPlace(j *job, e *Explanation) queue.Verdict {
+	now := wire.BootTime()
+	items := make([]queue.Item, 0, len(q.waiters)+1)
+	for _, w := range q.waiters {
 		items = append(items, w.item)
 	}
-	items = append(items, j.queueItem(wire.BootTime()))
+	item := j.queueItem(now)
+	item.Excess = q.shares.Excess(j.accountName())
+	items = append(items, item)
 	e.Waiting = len(items)
-	e.Place = slices.Index(queue.Order(items, wire.BootTime()), len(waiting)) + 1
+	var before queue.Waiting
+	for n, i := range queue.Order(items, now) {
+		if i == len(q.waiters) {
+			e.Place = n + 1
+			break
+		}
+		if !q.waiters[i].onTrial {
+			before.Add(items[i])
+		}
+	}
+	return queue.Judge(item, q.rates.Wait(before, item, now), now, 0)
 }
 
 // indexOf returns the index of a target; -1 if it is not among them.
@@ -180,9 +209,13 @@
 	case limited:
 		out.Reason, out.WaitMs = "it asked for a pause, or its rate is used up", o.wait.Milliseconds()
 	default:
-		out.Reason = "new streams go to the settled software version"
-		if eligible && out.Leaving != nil {
+		switch {
+		case !eligible:
+			out.Reason = "new streams go to the settled software version"
+		case out.Leaving != nil && !out.Leaving.Reason.Open():
 			out.Reason = "zone: " + string(out.Leaving.Reason)
+		default:
+			out.Reason = littleRoomReason
 		}
 	}
 	return out
--- a/internal/proxy/explain_test.go
+++ b/internal/proxy/explain_test.go
@@ -8,9 +8,13 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
+	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/opconf"
+	"sesamehill.example/sesamehill/internal/queue"
+	"sesamehill.example/sesamehill/internal/room"
+	"sesamehill.example/sesamehill/internal/wire"
 )
 
 // explainWorld returns a host whose configuration has a route to the service.
@@ -96,6 +100,78 @@
 	}
 }
 
+// reserveWorld returns one of many hosts that share two engines. Each engine has one free
+// slot, which more urgent requests are expected to take.
+func reserveWorld(t *testing.T) *zoneWorld {
+	t.Helper()
+	config, err := opconf.New(opconf.Config{
+		Version:  1,
+		Services: []opconf.Service{{Name: "app", Engine: &opconf.Engine{Slots: 10, CapacityTokens: 100_000}}},
+		Routes:   []opconf.Route{{Name: "r", Host: "h", Prefix: "/app/", LatencyTarget: time.Second, Priority: 2, Shares: []opconf.Share{{Service: "app", Weight: 1}}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newZoneWorld()
+	WithHosts(func() int { return 330 })(w.proxy)
+	w.proxy.SetConfig(config)
+	w.set(t, []string{"target", "a", "own", "9"})
+	w.set(t, []string{"target", "b", "own", "9"})
+	w.set(t, []string{"prompt", "400"})
+	w.fleet.SetRemoteInFlight("other", w.calls, fleet.Peer)
+	demand := &w.proxy.waitQueue("app").demand
+	demand.Arrived(room.Kind{Target: time.Second}, room.Load{Calls: 1, Tokens: 400}, wire.BootTime())
+	return w
+}
+
+// Guards against an explanation that sends a request to an engine whose room is kept for more
+// urgent ones.
+func TestExplainReserve(t *testing.T) {
+	w := reserveWorld(t)
+	e := w.proxy.Explain(w.job("first").Call)
+	if e.Outcome != Waits {
+		t.Errorf("explained as %s, want waits", e.Outcome)
+	}
+	for _, target := range e.Targets {
+		if target.Reason != littleRoomReason {
+			t.Errorf("target %s: %q, want %q", target.ID, target.Reason, littleRoomReason)
+		}
+	}
+	call := w.job("first").Call
+	call.Arrived = wire.BootTime()
+	j := &job{Call: call, excluded: map[string]bool{}, log: zap.NewNop()}
+	if r := w.proxy.findRoute(j, "h", call.URL.Path); r != nil {
+		t.Fatal(r)
+	}
+	j.setDeadline(nil)
+	j.costs = w.proxy.costsOf(j)
+	if wt := (&waiter{job: j, item: j.queueItem(call.Arrived), result: make(chan waitOutcome, 1)}); !w.proxy.enqueue(wt) || len(wt.result) > 0 {
+		t.Error("the request itself does not wait")
+	}
+}
+
+// Guards against an explanation that lets a request wait which is refused at once, as it
+// would get a target too late.
+func TestExplainPredictedWait(t *testing.T) {
+	w := explainWorld(t)
+	w.set(t, []string{"target", "a", "own", "13"})
+	w.fleet.SetRemoteInFlight("other", w.calls, fleet.Peer)
+	now := wire.BootTime()
+	first := w.job("first")
+	first.Arrived = now
+	q := w.proxy.waitQueue("app")
+	q.waiters = []*waiter{{job: first, item: first.queueItem(now), result: make(chan waitOutcome, 1)}}
+	var waiting queue.Waiting
+	waiting.Add(q.waiters[0].item)
+	q.rates.Observe(waiting, now-time.Minute)
+	call := w.job("second").Call
+	call.Timeout = time.Second
+	e := w.proxy.Explain(call)
+	if e.Outcome != Rejected || !strings.HasPrefix(e.Refusal.Reason, "the predicted wait") || e.Place != 2 {
+		t.Errorf("explained as %+v, refusal %+v", e, e.Refusal)
+	}
+}
+
 // Guards against an explanation of a request that the configuration does not allow.
 func TestExplainUnknownRoute(t *testing.T) {
 	w := explainWorld(t)
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -355,7 +355,11 @@
 		"refused: predicted wait", zap.Int64("predicted", r.Predicted.Milliseconds()), zap.Int("priority", j.priority()),
 		zap.Int64("retryafter", r.RetryAfter.Milliseconds()),
 	)
-	p.refuse(j, "the predicted wait for capacity is "+r.Predicted.Round(time.Millisecond).String(), max(r.RetryAfter, j.limitedFor))
+	p.refuse(j, predictedWaitReason(r), max(r.RetryAfter, j.limitedFor))
+}
+
+func predictedWaitReason(r queue.Refuse) string {
+	return "the predicted wait for capacity is " + r.Predicted.Round(time.Millisecond).String()
 }
 
 // giveUp ends a request for which no further attempt is possible.
--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -42,8 +42,7 @@
 	admitted := s.keep(room.Admit(s.engines(j.costs), j.ask(), reserve))
 	if len(admitted.targets) == 0 {
 		p.Metrics.Count("kept out by reserve")
-		s.choice = place.Full{}
-		return s
+		return selection{choice: place.Full{}}
 	}
 	if wait := q.paceWait(j, s, p.hosts(), now); wait > 0 {
 		p.Metrics.Count("kept out by pace")
--- a/internal/room/demand.go
+++ b/internal/room/demand.go
@@ -1,6 +1,7 @@
 package room
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -33,6 +34,9 @@
 	at    time.Duration
 }
 
+// Clone returns a copy that records requests of its own.
+func (d *Demand) Clone() Demand { return Demand{asked: maps.Clone(d.asked), at: d.at} }
+
 // Arrived records a request.
 func (d *Demand) Arrived(k Kind, ask Load, now time.Duration) {
 	d.advance(now)
