Try requests again whose room was kept for more urgent ones

The kept room shrinks with time, but nothing started a dispatch then, so that on quiet engines a request waited to its time limit beside free room. Dispatch the queue every 100 ms while such a request waits, as for the zones.

--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -423,8 +423,8 @@
 		}
 		return granted{chosen}
 	case place.Full:
-		if j.zones != nil {
-			p.dispatchAfter(zoneViewInterval)
+		if j.zones != nil || j.sharesRoom() {
+			p.dispatchAfter(zoneViewInterval) // what is open to the request changes with time alone
 		}
 		return nil
 	}
--- a/internal/proxy/waitqueue_test.go
+++ b/internal/proxy/waitqueue_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -19,7 +21,8 @@
 	j := w.job("first")
 	j.Arrived = wire.BootTime()
 	j.deadline = j.Arrived + 100*time.Millisecond
-	if v, ok := w.proxy.acquire(context.Background(), j).(waitExpired); !ok {
+	v := w.proxy.acquire(context.Background(), j)
+	if _, ok := v.(waitExpired); !ok {
 		t.Fatalf("the request got %T, want waitExpired", v)
 	}
 	item := j.queueItem(wire.BootTime())
@@ -30,3 +33,24 @@
 		t.Errorf("ten minutes after the queue was empty, the predicted wait is %s", wait)
 	}
 }
+
+// Guards against a request that waits to its time limit although the room that was kept for
+// more urgent ones is free again: nothing else may happen that starts a dispatch.
+func TestKeptRoomIsTriedAgain(t *testing.T) {
+	w := reserveWorld(t)
+	WithHosts(func() int { return 32 })(w.proxy)
+	w.fleet.SetRemoteInFlight("other", map[string]fleet.InFlight{"a": {Calls: 8}, "b": {Calls: 8}}, fleet.Peer)
+	j := &job{Call: w.job("first").Call, excluded: map[string]bool{}, log: zap.NewNop()}
+	j.Arrived, j.Timeout = wire.BootTime(), 4*time.Second
+	if r := w.proxy.findRoute(j, "h", j.URL.Path); r != nil {
+		t.Fatal(r)
+	}
+	j.setDeadline(nil)
+	v := w.proxy.acquire(context.Background(), j)
+	if _, ok := v.(granted); !ok {
+		t.Errorf("the request got %T, want granted", v)
+	}
+	if j.queueTime < 100*time.Millisecond {
+		t.Errorf("the request waited %s, so that this tests nothing", j.queueTime)
+	}
+}
