Leave a zone at once whose targets accept no connections

While the targets of the own zone were listed but accepted no connections, its shares of other zones began at zero, so that requests were sent to these targets although those of other zones were up: for a second or more, and longer beyond the quota.

Open all zones then, as for a zone without targets. The new case was sent to the target that accepts no connections ("zone: in the share that stays" for the other one) and goes to the other zone now.

--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -159,14 +159,13 @@
 	return z
 }
 
-// open returns the targets in zones to which the request may go; all if none is in the own
-// zone.
+// open returns the targets in zones to which the request may go; all if no target in the own
+// zone accepts connections, as shares and quotas take a second or more to follow.
 func (z *zonePlan) open(own string, eligible []fleet.Status, decide func(zone string) zones.Verdict) []fleet.Status {
-	if !slices.ContainsFunc(eligible, func(s fleet.Status) bool { return s.Zone == own }) {
-		z.verdicts = map[string]zones.Verdict{}
+	z.verdicts = map[string]zones.Verdict{}
+	if !slices.ContainsFunc(eligible, func(s fleet.Status) bool { return s.Zone == own && !s.Down }) {
 		return eligible
 	}
-	z.verdicts = map[string]zones.Verdict{}
 	out := make([]fleet.Status, 0, len(eligible))
 	for _, s := range eligible {
 		if z.verdict(s.Zone, decide).Reason.Open() {
--- a/internal/proxy/zones_test.go
+++ b/internal/proxy/zones_test.go
@@ -74,6 +74,8 @@
 		w.prompt = &Prompt{Model: "m", InputTokens: int(number(1)), Parts: []Part{{"aa", int(number(1)) / 2}, {"bb", int(number(1)) / 2}}}
 	case "load":
 		w.weights[f[1]] = true
+	case "down":
+		w.fleet.Begin(f[1], fleet.InFlight{Calls: 1}).End(fleet.Unreachable)
 	case "body":
 		w.body = make([]byte, int(number(1)))
 	default:
