Refuse no request that has begun to run

net/http reads a byte ahead while the handler of a request starts. If the budget was used up at that moment, the guard had found the head phase, lost the processor to the handler, and then closed the connection in whatever phase it was, with a 503 that promises that the request did not run.

End a connection from the head phase only. The new test got the refusal of a request that had begun, and gets none now.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -269,3 +269,33 @@
 	close(s.release)
 	s.g.Expect(status(waiting)).To(Equal(http.StatusOK))
 }
+
+// recordingConn records what is written to a caller.
+type recordingConn struct {
+	net.Conn
+	written strings.Builder
+}
+
+func (c *recordingConn) Write(b []byte) (int, error) { return c.written.Write(b) }
+
+func (*recordingConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (*recordingConn) Close() error { return nil }
+
+// Guards against a refusal of a request that has begun to run: net/http reads a byte ahead
+// while the handler of a request starts, and the budget may be used up by then.
+func TestNoRefusalOfBegunRequest(t *testing.T) {
+	g := NewWithT(t)
+	guard := NewGuard(WithLimits(testLimits))
+	raw := &recordingConn{}
+	c, ok := guard.add(raw)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(c.begin(Head)).To(BeTrue())
+	guard.SetLimits(Limits{Bytes: 1, StallTime: time.Second}) // no further byte has room
+	g.Expect(c.begin(Whole)).To(BeTrue())
+	n, err := c.readHead([]byte("G"), nil) // the read saw the phase before the handler began
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(1))
+	g.Expect(raw.written.String()).To(BeEmpty())
+	g.Expect(c.currentPhase()).To(Equal(Whole))
+}
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -73,13 +73,11 @@
 	c.progress(len(b))
 	// The last read of a head may bring the begin of the body.
 	if limits.HeaderBytes > 0 && c.headBytes > limits.HeaderBytes+readAheadBytes {
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "head too large")
-		return 0, closedError()
+		return c.refuse(b, err, http.StatusRequestHeaderFieldsTooLarge, "head too large")
 	}
 	cost := int64(headByteCost*len(b) + fieldBytes*bytes.Count(b, newline))
 	if !c.guard.reserve(cost) {
-		c.refuse(http.StatusServiceUnavailable, "refused")
-		return 0, closedError()
+		return c.refuse(b, err, http.StatusServiceUnavailable, "refused")
 	}
 	c.bytes.Add(cost)
 	return len(b), err
@@ -108,10 +106,15 @@
 	}
 }
 
-// refuse answers a request that was not decoded, and closes the connection.
-func (c *Conn) refuse(status int, reason string) {
-	if !c.end(reason) {
-		return
+// refuse answers a request whose head is being received, and closes the connection. It
+// returns the result of the read. If the request has begun to run since, the received bytes
+// were read ahead of the next one, and it refuses nothing.
+func (c *Conn) refuse(b []byte, err error, status int, reason string) (int, error) {
+	if !c.end(Head, reason) {
+		if c.currentPhase() == Closed {
+			return 0, closedError()
+		}
+		return len(b), err
 	}
 	retry := ""
 	if status == http.StatusServiceUnavailable {
@@ -121,6 +124,7 @@
 	// The caller may have gone.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry)
 	_ = c.Conn.Close() // nothing else can be done
+	return 0, closedError()
 }
 
 // Write writes to the caller in pieces, so that the guard sees whether it reads.
@@ -177,10 +181,10 @@
 	}
 }
 
-// end makes the connection a closed one unless its phase changes meanwhile. It does not
-// close the underlying connection.
-func (c *Conn) end(reason string) bool {
-	if p := c.currentPhase(); p == Closed || !c.phase.CompareAndSwap(int32(p), int32(Closed)) {
+// end makes a connection that is still in a phase a closed one. It does not close the
+// underlying connection.
+func (c *Conn) end(p Phase, reason string) bool {
+	if !c.phase.CompareAndSwap(int32(p), int32(Closed)) {
 		return false
 	}
 	c.guard.count(reason)
@@ -190,11 +194,9 @@
 
 // closeFrom closes a connection that is still in a phase.
 func (c *Conn) closeFrom(p Phase, reason string) bool {
-	if !c.phase.CompareAndSwap(int32(p), int32(Closed)) {
+	if !c.end(p, reason) {
 		return false
 	}
-	c.guard.count(reason)
-	c.release()
 	_ = c.Conn.Close() // makes pending reads and writes fail
 	return true
 }
