Count slow readers of long answers as readers

The guard sees whether a caller takes its answer by the time of single writes. The kernel takes further bytes only when a third of its send buffer is free, which is megabytes, so that a legal caller seemed to take nothing for as long as it reads these: 7 s at 200 KB a second on the loopback interface.

Let the kernel take 64 KB ahead of the network.

--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -55,8 +55,8 @@
 	// legal request that is sent more slowly can meet a limit only when the budget is used
 	// up.
 	progressBytes = 512
-	// unreadStallTime is the time after which a caller that takes nothing of its answer may
-	// be closed for others.
+	// unreadStallTime is the time after which a caller that has not taken a piece of
+	// maxWriteBytes of its answer may be closed for others.
 	unreadStallTime = 5 * time.Second
 )
 
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -13,7 +13,7 @@
 
 // serveAdmin serves HTTP calls other than those of callers until ctx is cancelled.
 func serveAdmin(ctx context.Context, address string, g *caller.Guard, h http.Handler) error {
-	l, err := wire.Listen(ctx, address, wire.WithReceiveBuffer(callerReceiveBytes))
+	l, err := wire.Listen(ctx, address, wire.WithReceiveBuffer(callerReceiveBytes), wire.WithUnsentLimit(callerUnsentBytes))
 	if err != nil {
 		return err
 	}
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -43,7 +43,7 @@
 
 // Serve accepts connections until ctx is cancelled; open connections stay open.
 func (s *callerServer) Serve(ctx context.Context, address string) error {
-	l, err := wire.Listen(ctx, address, wire.WithReceiveBuffer(callerReceiveBytes))
+	l, err := wire.Listen(ctx, address, wire.WithReceiveBuffer(callerReceiveBytes), wire.WithUnsentLimit(callerUnsentBytes))
 	if err != nil {
 		return err
 	}
--- a/internal/server/guards.go
+++ b/internal/server/guards.go
@@ -27,6 +27,9 @@
 	// callerReceiveBytes is what the kernel holds of a connection that is not read. It counts
 	// as memory of the machine.
 	callerReceiveBytes = 16 << 10
+	// callerUnsentBytes is what the kernel takes of an answer ahead of the network. With more,
+	// a caller that reads slowly seems to take nothing for as long as it reads megabytes.
+	callerUnsentBytes = 64 << 10
 	// The admin limits are those of the ready and the admin address. Their calls are short,
 	// so that a new connection may displace the oldest one at once.
 	maxAdminHeaderBytes = 16 << 10
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -208,6 +208,16 @@
 	}
 }
 
+// WithUnsentLimit sets how many bytes of each connection the kernel takes that it has not
+// sent. Without it a write to a slow reader may wait for a third of a send buffer of
+// megabytes.
+func WithUnsentLimit(size int) ListenOption {
+	return func(c syscall.RawConn) {
+		// A kernel that refuses the option keeps its own limit.
+		_ = c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, size) })
+	}
+}
+
 // Listen opens a listener whose connections detect dead peers.
 func Listen(ctx context.Context, address string, opts ...ListenOption) (net.Listener, error) {
 	c := net.ListenConfig{
