Leave attempts without work out of the mean time of a call

Attempts that a target refused or that got no connection counted in the mean time of a call, by which the wait in a zone and the rate of calls to it are computed. Only attempts that no other one follows count now.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -103,7 +103,7 @@
 		return p.quarantinedResult(j, c)
 	}
 	p.Metrics.Observe("attempt", wire.BootTime()-sent)
-	p.recordUse(j, wire.BootTime()-sent)
+	p.recordUse(j, result, wire.BootTime()-sent)
 	if r, ok := result.(retryable); ok {
 		j.excluded[c.ID] = true
 		p.Metrics.Count("again")
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -48,8 +48,13 @@
 	p.leaving.prices, p.leaving.planners = prices, map[string]*zones.Planner{}
 }
 
-// recordUse records how long an attempt took, with the answer that the caller has got.
-func (p *Proxy) recordUse(j *job, took time.Duration) {
+// recordUse records how long an attempt took, with the answer that the caller has got. One
+// that the target turned away, or that another one follows, says nothing about its work.
+func (p *Proxy) recordUse(j *job, result attemptResult, took time.Duration) {
+	switch result.(type) {
+	case retryable, quarantined:
+		return
+	}
 	l := &p.leaving
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/zones_test.go
+++ b/internal/proxy/zones_test.go
@@ -94,7 +94,7 @@
 func (w *zoneWorld) shares() map[string]float64 {
 	const settled, requests = 50, 200
 	w.fleet.SetRemoteInFlight("other", w.calls, fleet.Peer)
-	w.proxy.recordUse(w.job(""), 200*time.Millisecond)
+	w.proxy.recordUse(w.job(""), completed{200}, 200*time.Millisecond)
 	out, sent := map[string]float64{}, 0
 	for i := range settled + requests {
 		j := w.job(fmt.Sprint("request-", i))
@@ -142,3 +142,17 @@
 		})
 	}
 }
+
+// Guards against attempts that a target turned away at once and that count as work: where
+// targets are too full, the time of a call would then seem to be short, and so the wait.
+func TestRefusedAttemptsAreNoUse(t *testing.T) {
+	w := newZoneWorld()
+	j := w.job("first")
+	w.proxy.recordUse(j, completed{200}, 200*time.Millisecond)
+	for range 100 {
+		w.proxy.recordUse(j, retryable{"the target did not run the request"}, time.Millisecond)
+	}
+	if got := w.proxy.leaving.useOf("app").serviceMs; got != 200 {
+		t.Errorf("a call takes %.1f ms in the mean, want 200", got)
+	}
+}
