Measure no speed by errors

A target that answers plain work with errors at once was measured as fast: with 40 errors of 1 ms beside answers of 100 ms its slowdown was 0.50, and it is 1 now. It got more requests by that, against the risk that its errors show.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -151,7 +151,7 @@
 	}
 	defer body.Release()
 	p.Metrics.Observe("answer", wire.BootTime()-j.Arrived)
-	p.recordPlain(j, c)
+	p.recordPlain(j, c, r.Status)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body.Bytes)))
 	p.sendHeader(j, r)
 	j.answerBytes += len(body.Bytes)
--- a/internal/proxy/speed.go
+++ b/internal/proxy/speed.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,9 +58,10 @@
 	}
 }
 
-// recordPlain records the time of an attempt without a prompt.
-func (p *Proxy) recordPlain(j *job, c reservation) {
-	if j.Prompt == nil {
+// recordPlain records the time of an attempt without a prompt that was answered. An error may
+// have taken no work.
+func (p *Proxy) recordPlain(j *job, c reservation, status int) {
+	if j.Prompt == nil && status < http.StatusBadRequest {
 		now := wire.BootTime()
 		p.speeds.RecordPlain(speed.Plain{Service: j.service.Name, Target: c.ID, Queued: c.measure.queued, Took: now - c.sent}, now)
 	}
