Name a full queue in the refusal

A request that found 512 others waiting was refused because "no target had capacity within 0s", and its explanation said something else. Both name the full queue now.

--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -117,7 +117,7 @@
 	defer p.placementMu.Unlock()
 	q := p.waitQueue(j.service.Name)
 	if len(q.waiters) >= maxWaitingPerService {
-		e.Refusal = &Refusal{http.StatusServiceUnavailable, "too many requests wait for the service", retryAfterMin.Milliseconds()}
+		e.Refusal = &Refusal{http.StatusServiceUnavailable, queueFullReason, retryAfterMin.Milliseconds()}
 		return
 	}
 	predicted := q.explainPlace(j, e)
--- a/internal/proxy/explain_test.go
+++ b/internal/proxy/explain_test.go
@@ -172,6 +172,21 @@
 	}
 }
 
+// Guards against an explanation of a request that finds the queue full, and a refusal that
+// names a wait which did not take place.
+func TestExplainFullQueue(t *testing.T) {
+	w := explainWorld(t)
+	w.set(t, []string{"target", "a", "own", "0"})
+	w.proxy.waitQueue("app").waiters = make([]*waiter, maxWaitingPerService)
+	if e := w.proxy.Explain(w.job("first").Call); e.Outcome != Rejected || e.Refusal.Reason != queueFullReason {
+		t.Errorf("explained as %+v", e)
+	}
+	v := w.proxy.acquire(t.Context(), w.job("first"))
+	if _, ok := v.(queueFull); !ok {
+		t.Errorf("the request got %T, want queueFull", v)
+	}
+}
+
 // Guards against an explanation of a request that the configuration does not allow.
 func TestExplainUnknownRoute(t *testing.T) {
 	w := explainWorld(t)
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -287,6 +287,9 @@
 		case waitExpired:
 			p.queueTimedOut(ctx, j, v.queueTime)
 			return
+		case queueFull:
+			p.giveUp(j, queueFullReason)
+			return
 		case overloaded:
 			p.refuseOverloaded(j, v.Refuse)
 			return
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -26,7 +26,7 @@
 )
 
 // waitOutcome is the outcome of a wait for capacity: granted, noTarget, waitExpired,
-// overloaded or refused.
+// queueFull, overloaded or refused.
 type waitOutcome interface{ waitOutcome() }
 
 // granted carries the reserved target.
@@ -35,9 +35,14 @@
 // noTarget says that no target can take the request.
 type noTarget struct{}
 
-// waitExpired says that the request waited too long or that too many others wait.
+// waitExpired says that the request waited too long.
 type waitExpired struct{ queueTime time.Duration }
 
+// queueFull says that too many other requests wait for the service.
+type queueFull struct{}
+
+const queueFullReason = "too many requests wait for the service"
+
 // overloaded says that the request would get a target too late to be of use.
 type overloaded struct{ queue.Refuse }
 
@@ -52,6 +57,7 @@
 func (granted) waitOutcome()     {}
 func (noTarget) waitOutcome()    {}
 func (waitExpired) waitOutcome() {}
+func (queueFull) waitOutcome()   {}
 func (overloaded) waitOutcome()  {}
 func (refused) waitOutcome()     {}
 func (onTrial) waitOutcome()     {}
@@ -101,7 +107,7 @@
 	j.costs = p.costsOf(j)
 	w := &waiter{job: j, result: make(chan waitOutcome, 1), item: j.queueItem(wire.BootTime())}
 	if !p.enqueue(w) {
-		return waitExpired{}
+		return queueFull{}
 	}
 	started := wire.BootTime()
 	t := time.NewTimer(p.waitLimit(j))
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -28,7 +28,7 @@
 	return nil
 }
 
-// ignoreBody answers requests without reading their bodies.
+// ignoreBody answers requests without reading what the handler leaves of their bodies.
 func ignoreBody(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
