--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -91,6 +91,10 @@
 		return e
 	}
 	e.Service = j.service.Name
+	if len(call.Body) > j.maxBodyBytes() {
+		e.Refusal = &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: bodyTooLargeReason}
+		return e
+	}
 	j.setDeadline(p.draining.Load())
 	j.fingerprint, j.parts = hashRequest(j), hashParts(j.Prompt)
 	j.costs, j.waitingSince = p.costsOf(j), call.Arrived
--- a/internal/proxy/explain_test.go
+++ b/internal/proxy/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/url"
 	"strings"
 	"testing"
@@ -187,6 +188,17 @@
 	}
 }
 
+// Guards against an explanation of a request whose body is refused unread.
+func TestExplainLargeBody(t *testing.T) {
+	w := explainWorld(t)
+	w.set(t, []string{"target", "a", "own", "0"})
+	call := w.job("x").Call
+	call.Body = make([]byte, defaultMaxBodyBytes+1)
+	if e := w.proxy.Explain(call); e.Outcome != Rejected || e.Refusal.Status != http.StatusRequestEntityTooLarge {
+		t.Errorf("explained as %+v", e)
+	}
+}
+
 // Guards against an explanation of a request that the configuration does not allow.
 func TestExplainUnknownRoute(t *testing.T) {
 	w := explainWorld(t)
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -220,18 +220,25 @@
 	return j.route.Priority
 }
 
+const bodyTooLargeReason = "request body too large"
+
+// maxBodyBytes returns the length of the longest body that the configuration allows.
+func (j *job) maxBodyBytes() int {
+	if j.config.Limits.BodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return j.config.Limits.BodyBytes
+}
+
 // readBody reads the body of a request into the pool. If it returns false, it has
 // already sent the final answer.
 func (p *Proxy) readBody(j *job, r *http.Request) bool {
 	if r.Body == nil {
 		r.Body = http.NoBody
 	}
-	limit := j.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := j.maxBodyBytes()
 	if r.ContentLength > int64(limit) {
-		p.deny(j.w, j, http.StatusRequestEntityTooLarge, "request body too large")
+		p.deny(j.w, j, http.StatusRequestEntityTooLarge, bodyTooLargeReason)
 		return false
 	}
 	if r.ContentLength != 0 {
@@ -247,7 +254,7 @@
 		j.w.Header().Set("Connection", "close") // the rest of the body is not read
 		p.refuse(j, err.Error(), poolFullRetryAfter)
 	case errors.As(err, &exceeded):
-		p.deny(j.w, j, http.StatusRequestEntityTooLarge, "request body too large")
+		p.deny(j.w, j, http.StatusRequestEntityTooLarge, bodyTooLargeReason)
 	default:
 		j.log.Info("client disconnected", zap.String("reason", "request body incomplete"), zap.Error(err))
 		panic(http.ErrAbortHandler)
