--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -174,17 +174,18 @@
 	item.Excess = q.shares.Excess(j.accountName())
 	items = append(items, item)
 	e.Waiting = len(items)
+	key := j.allowed.Key()
 	var before queue.Waiting
 	for n, i := range queue.Order(items, now) {
 		if i == len(q.waiters) {
 			e.Place = n + 1
 			break
 		}
-		if !q.waiters[i].onTrial {
+		if w := q.waiters[i]; !w.onTrial && w.job.allowed.Key() == key {
 			before.Add(items[i])
 		}
 	}
-	return queue.Judge(item, q.rates.Wait(before, item, now), now, 0)
+	return queue.Judge(item, q.ratesOf(key).Wait(before, item, now), now, 0)
 }
 
 // indexOf returns the index of a target; -1 if it is not among them.
--- a/internal/proxy/explain_test.go
+++ b/internal/proxy/explain_test.go
@@ -164,7 +164,7 @@
 	q.waiters = []*waiter{{job: first, item: first.queueItem(now), result: make(chan waitOutcome, 1)}}
 	var waiting queue.Waiting
 	waiting.Add(q.waiters[0].item)
-	q.rates.Observe(waiting, now-time.Minute)
+	q.ratesOf("").Observe(waiting, now-time.Minute)
 	call := w.job("second").Call
 	call.Timeout = time.Second
 	e := w.proxy.Explain(call)
