--- a/internal/zones/sim_test.go
+++ b/internal/zones/sim_test.go
@@ -17,13 +17,13 @@
 // load is a group of targets and callers in one zone. Rates are calls a second of all
 // callers of the zone; wave is their share that comes and goes in period.
 type load struct {
-	Name                  string
-	Slots                 int
-	Rate, Wave, Phase     float64
-	Cold                  bool
-	running, served, away int
-	sentTo                map[string]int
-	most                  int
+	Name              string
+	Slots             int
+	Rate, Wave, Phase float64
+	Cold              bool
+	running, away     int
+	sentTo            map[string]int
+	most              int
 }
 
 // world plays hosts that share the targets of a service.
