--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"sesamehill.example/sesamehill/internal/place"
-	"sesamehill.example/sesamehill/internal/queue"
 	"sesamehill.example/sesamehill/internal/room"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -86,7 +85,7 @@
 // patience is the share of the time for which a request may wait that is left. The reserve
 // shrinks with it, so that nobody is kept out forever.
 func (j *job) patience(now time.Duration) float64 {
-	limit := queue.Latest(j.waitingSince, j.deadline) - j.waitingSince
+	limit := j.latestStart(j.waitingSince) - j.waitingSince
 	if j.waitingSince == 0 || limit <= 0 {
 		return 0
 	}
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// waitLatencyFactor limits the wait for capacity to a multiple of the latency target.
+	waitLatencyFactor = 2
 	// maxWaitingPerService limits the requests that wait for one service.
 	maxWaitingPerService = 512
 	// dispatchDelay is the time for which changes of targets are collected before
@@ -115,7 +117,7 @@
 // queueItem describes a request that is queued now.
 func (j *job) queueItem(now time.Duration) queue.Item {
 	i := queue.Item{
-		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Deadline: j.deadline, Latest: queue.Latest(now, j.deadline),
+		Arrived: j.Arrived, LatencyTarget: j.route.LatencyTarget, Deadline: j.deadline, Latest: j.latestStart(now),
 		Priority: j.priority(), First: j.binding.bound, Began: j.headerSent || j.attempts > 0, Size: 1,
 	}
 	if j.Prompt != nil {
@@ -260,13 +262,23 @@
 	q.rates.Observe(before, now)
 }
 
+// latestStart is the latest time at which a request that is queued at a time is of use to its
+// caller, who may leave a stream that has not begun after some latency targets.
+func (j *job) latestStart(queued time.Duration) time.Duration {
+	latest := queue.Latest(queued, j.deadline)
+	if j.route.LatencyTarget > 0 && !j.binding.bound {
+		latest = min(latest, queued+waitLatencyFactor*j.route.LatencyTarget)
+	}
+	return latest
+}
+
 // waitLimit returns how long a request may wait for capacity.
 func (p *Proxy) waitLimit(j *job) time.Duration {
 	now := wire.BootTime()
 	if j.headerSent {
 		return max(j.deadline-now, 0) // a stream that resumes after its deadline scores higher than a truncated one
 	}
-	return queue.Latest(now, j.deadline) - now
+	return j.latestStart(now) - now
 }
 
 // safeChoose calls choose and recovers from a panic. The request then gets no
