Name the phases and the closing of callers' connections in plain terms

Victims, Silent and Whole needed an explanation, and the order of closing was described as "held most for longest". They are ToClose, Opened and Received now; the keys of the test data follow. The order among idle connections is stated as it is: bytes times idle time.

No behaviour change. go test ./internal/caller passes.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -35,7 +35,7 @@
 	Body    duration `toml:"body"`
 }
 
-var phases = map[string]Phase{"silent": Silent, "idle": Idle, "head": Head, "body": Body, "whole": Whole}
+var phases = map[string]Phase{"opened": Opened, "idle": Idle, "head": Head, "body": Body, "received": Received}
 
 func (t holdingText) holding(order int) Holding {
 	return Holding{
@@ -56,7 +56,7 @@
 		KB       int64         `toml:"bytes"`
 		Conns    int           `toml:"conns"`
 		Bodies   bool          `toml:"bodies"`
-		Victims  []int         `toml:"victims"`
+		ToClose  []int         `toml:"close"`
 		Holdings []holdingText `toml:"holdings"`
 	} `toml:"choice"`
 }
@@ -84,8 +84,8 @@
 			for i, h := range c.Holdings {
 				holdings = append(holdings, h.holding(i))
 			}
-			victims := testLimits.Victims(holdings, Need{Bytes: c.KB << 10, Conns: c.Conns, Bodies: c.Bodies})
-			NewWithT(t).Expect(append([]int{}, victims...)).To(Equal(append([]int{}, c.Victims...)))
+			indexes := testLimits.ToClose(holdings, Need{Bytes: c.KB << 10, Conns: c.Conns, Bodies: c.Bodies})
+			NewWithT(t).Expect(append([]int{}, indexes...)).To(Equal(append([]int{}, c.ToClose...)))
 		})
 	}
 }
@@ -190,7 +190,7 @@
 	s.g.Expect(s.served.Load()).To(BeZero())
 }
 
-// Guards against an answer that waits for a body which its caller sends only when asked to.
+// Guards against an answer that waits for a body which its caller sends only after "100 Continue".
 func TestUnreadBody(t *testing.T) {
 	s := newTestServer(t, testLimits)
 	c := s.dial(t, "POST /unread HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
@@ -240,7 +240,7 @@
 	for range 2 {
 		conns = append(conns, s.dial(t, request))
 	}
-	s.g.Eventually(s.inPhase).WithArguments(Whole).Should(Equal(2))
+	s.g.Eventually(s.inPhase).WithArguments(Received).Should(Equal(2))
 	s.guard.now.Add(int64(time.Hour))
 	s.g.Expect(status(s.dial(t, request))).To(Or(Equal(http.StatusServiceUnavailable), BeZero()))
 	s.g.Expect(s.served.Load()).To(Equal(int32(2)))
@@ -258,7 +258,7 @@
 	head := s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n")
 	waiting := s.dial(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
 	s.g.Eventually(s.inPhase).WithArguments(Head).Should(Equal(1))
-	s.g.Eventually(s.inPhase).WithArguments(Whole).Should(Equal(1))
+	s.g.Eventually(s.inPhase).WithArguments(Received).Should(Equal(1))
 	s.guard.sweptAt -= time.Minute
 	s.guard.Sweep()
 	_, err := io.WriteString(head, "\r\n")
@@ -292,10 +292,10 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(c.begin(Head)).To(BeTrue())
 	guard.SetLimits(Limits{Bytes: 1, StallTime: time.Second}) // no further byte has room
-	g.Expect(c.begin(Whole)).To(BeTrue())
+	g.Expect(c.begin(Received)).To(BeTrue())
 	n, err := c.readHead([]byte("G"), nil) // the read saw the phase before the handler began
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(n).To(Equal(1))
 	g.Expect(raw.written.String()).To(BeEmpty())
-	g.Expect(c.currentPhase()).To(Equal(Whole))
+	g.Expect(c.currentPhase()).To(Equal(Received))
 }
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -46,7 +46,7 @@
 		return n, err
 	}
 	switch c.currentPhase() {
-	case Silent, Idle:
+	case Opened, Idle:
 		if !c.begin(Head) {
 			return 0, closedError()
 		}
@@ -59,7 +59,7 @@
 		c.progress(n)
 	case Closed:
 		return 0, closedError()
-	case Whole:
+	case Received:
 		c.ahead.Store(true)
 	case Hijacked:
 	}
@@ -71,7 +71,7 @@
 	limits := c.guard.limits.Load()
 	c.headBytes += len(b)
 	c.progress(len(b))
-	// The last read of a head may bring the begin of the body.
+	// The last read of a head may contain the begin of the body.
 	if limits.HeaderBytes > 0 && c.headBytes > limits.HeaderBytes+readAheadBytes {
 		return c.refuse(b, err, http.StatusRequestHeaderFieldsTooLarge, "head too large")
 	}
@@ -227,7 +227,7 @@
 // that its request does not run without an answer.
 func (r *bodyReader) Read(b []byte) (int, error) {
 	n, err := r.ReadCloser.Read(b)
-	if errors.Is(err, io.EOF) && !r.conn.begin(Whole) {
+	if errors.Is(err, io.EOF) && !r.conn.begin(Received) {
 		return n, closedError()
 	}
 	return n, err
--- a/internal/caller/doc.go
+++ b/internal/caller/doc.go
@@ -4,7 +4,7 @@
 // Callers may send anything at any pace. A Guard counts what each connection holds of a
 // request that has not been answered, at its cost after decoding, and closes connections
 // that exceed a limit of time. When its budget is used up it closes first the connection
-// that has held most for longest without progress. It never closes one that makes progress,
+// with the largest product of bytes and time without progress. It never closes one that makes progress,
 // nor one whose request was received as a whole and whose caller takes the answer; then it
 // refuses new requests before they are decoded, so that they have certainly not run.
 //
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -111,7 +111,7 @@
 	g.order++
 	conn := &Conn{Conn: c, guard: g, order: g.order}
 	conn.writeAt.Store(notWriting)
-	conn.begin(Silent)
+	conn.begin(Opened)
 	g.conns[conn] = struct{}{}
 	return conn, true
 }
@@ -167,7 +167,7 @@
 		conns, holdings = append(conns, c), append(holdings, c.holding(now))
 	}
 	closed, freed := 0, int64(0)
-	for _, i := range limits.Victims(holdings, n) {
+	for _, i := range limits.ToClose(holdings, n) {
 		if conns[i].closeFrom(holdings[i].Phase, "shed") {
 			g.remove(conns[i])
 			closed++
@@ -222,10 +222,10 @@
 }
 
 // CloseWaiting closes connections whose last request was answered, and those that have not
-// brought a whole head for longer than a time. It returns the number of the others.
+// sent a whole head for longer than a time. It returns the number of the others.
 func (g *Guard) CloseWaiting(limit time.Duration) int {
 	g.closeMatching(func(h Holding) string {
-		if h.Phase == Idle || (h.Phase == Silent || h.Phase == Head) && h.InPhase > limit {
+		if h.Phase == Idle || (h.Phase == Opened || h.Phase == Head) && h.InPhase > limit {
 			return "drain"
 		}
 		return ""
@@ -242,7 +242,7 @@
 		return
 	}
 	switch s {
-	case http.StateNew, http.StateActive: // the connection itself knows more
+	case http.StateNew, http.StateActive: // Conn tracks these phases itself
 	case http.StateIdle:
 		conn.release()
 		conn.bodyTime.Store(0)
@@ -294,7 +294,7 @@
 // for a body that was not read.
 func (c *Conn) beginRequest(r *http.Request) (*http.Request, bool) {
 	if r.ContentLength == 0 {
-		return r, c.begin(Whole)
+		return r, c.begin(Received)
 	}
 	handled := r.WithContext(r.Context())
 	handled.Body = &bodyReader{ReadCloser: r.Body, conn: c}
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -11,15 +11,15 @@
 
 // Phases of a connection.
 const (
-	// Silent is a connection that has brought no byte yet.
-	Silent Phase = iota
+	// Opened is a connection on which no byte was received yet.
+	Opened Phase = iota
 	// Idle is a connection whose last request was answered.
 	Idle
 	// Head and Body are the phases in which a request is received.
 	Head
 	Body
-	// Whole is the phase from the receipt of a whole request until its answer was sent.
-	Whole
+	// Received is the phase from the receipt of a whole request until its answer was sent.
+	Received
 	// Hijacked is a connection that has been handed to its handler.
 	Hijacked
 	// Closed is a connection that the guard has closed.
@@ -84,19 +84,19 @@
 		bodyTime = h.BodyTime
 	}
 	switch {
-	case (h.Phase == Idle || h.Phase == Silent) && exceeds(h.InPhase, l.IdleTime):
+	case (h.Phase == Idle || h.Phase == Opened) && exceeds(h.InPhase, l.IdleTime):
 		return "idle"
 	case h.Phase == Head && exceeds(h.InPhase, l.HeaderTime):
 		return "head"
 	case h.Phase == Body && exceeds(h.InPhase, bodyTime):
 		return "body"
-	case h.Phase == Whole && exceeds(h.Writing, l.WriteTime):
+	case h.Phase == Received && exceeds(h.Writing, l.WriteTime):
 		return "unread"
 	}
 	return ""
 }
 
-// Need is what a guard needs back from connections.
+// Need is what a guard needs to free by closing connections.
 type Need struct {
 	Bytes int64
 	Conns int
@@ -109,28 +109,28 @@
 	switch h.Phase {
 	case Body:
 		return h.Stalled >= l.StallTime
-	case Silent, Head:
+	case Opened, Head:
 		return !n.Bodies && h.Stalled >= l.StallTime
 	case Idle:
 		return !n.Bodies && h.InPhase >= l.StallTime
-	case Whole:
+	case Received:
 		return !n.Bodies && h.Writing >= unreadStallTime
 	default:
 		return false
 	}
 }
 
-// Victims returns the indexes of the connections to close, in this order: those that have
-// held most for longest without progress, then idle ones, the longest idle first. They may
-// be too few.
-func (l Limits) Victims(holdings []Holding, n Need) []int {
+// ToClose returns the indexes of the connections to close, in this order: those with the
+// largest product of bytes and time without progress, then idle ones, largest product of bytes
+// and idle time first. They may free less than is needed.
+func (l Limits) ToClose(holdings []Holding, n Need) []int {
 	var candidates []int
 	for i, h := range holdings {
 		if l.closable(h, n) {
 			candidates = append(candidates, i)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b int) int { return compareVictims(holdings[a], holdings[b]) })
+	slices.SortFunc(candidates, func(a, b int) int { return compareCloseOrder(holdings[a], holdings[b]) })
 	for i, c := range candidates {
 		if n.Bytes <= 0 && n.Conns <= 0 {
 			return candidates[:i]
@@ -141,8 +141,8 @@
 	return candidates
 }
 
-// compareVictims orders connections; the first one is closed first.
-func compareVictims(a, b Holding) int {
+// compareCloseOrder orders connections; the first one is closed first.
+func compareCloseOrder(a, b Holding) int {
 	if aIdle, bIdle := a.Phase == Idle, b.Phase == Idle; aIdle != bIdle {
 		if bIdle {
 			return -1
