--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -16,9 +16,6 @@
 // Outcome is what would happen to a request now.
 type Outcome string
 
-// littleRoomReason says why a target with a free slot may be no candidate.
-const littleRoomReason = "too little room, after what is kept for more urgent requests and for calls of other hosts"
-
 // Outcomes.
 const (
 	// Sent means that the request would go to Explanation.Target.
@@ -29,6 +26,9 @@
 	Rejected Outcome = "refused"
 )
 
+// littleRoomReason says why a target with a free slot may be no candidate.
+const littleRoomReason = "too little room, after what is kept for more urgent requests and for calls of other hosts"
+
 // Explanation says where a request would go now, and why. It does not say what happens to
 // the request after that.
 type Explanation struct {
@@ -38,7 +38,7 @@
 	Outcome Outcome `json:"outcome"`
 	Target  string  `json:"target,omitempty"`
 	// Place is the position among the requests that wait for the service, from 1, and
-	// Waiting their number with this one. The outcome is that when its turn comes.
+	// Waiting their number with this one. The outcome is that of its place in the order.
 	Place   int `json:"place,omitempty"`
 	Waiting int `json:"waiting,omitempty"`
 	// LimitMs is the longest wait for a target in milliseconds; Refusal says what follows it.
@@ -51,19 +51,18 @@
 type Refusal struct {
 	Status int    `json:"status"`
 	Reason string `json:"reason"`
-	// RetryMs is the least time after which the caller is told to retry, in milliseconds;
-	// zero if it is not told to.
+	// RetryMs is the Retry-After time in milliseconds; zero if the answer has none.
 	RetryMs int64 `json:"retry,omitempty"`
 }
 
-// ExplainedTarget is a target of the service with what the choice knows of it.
+// ExplainedTarget is a target of the service with the data on which the choice is based.
 type ExplainedTarget struct {
 	ID   string `json:"target"`
 	Zone string `json:"zone"`
 	// Reason says why the target was not chosen; empty for the chosen one.
 	Reason string `json:"reason,omitempty"`
 	// CostMs is the expected cost in milliseconds, Rank the position for the affinity key
-	// from 0. Both are only known of candidates.
+	// from 0. Only candidates have both.
 	CostMs    float64 `json:"cost,omitempty"`
 	Rank      int     `json:"rank,omitempty"`
 	Candidate bool    `json:"candidate"`
@@ -141,25 +140,33 @@
 	case full, limitedFor > 0 && limitedFor < p.waitLimit(j):
 		e.Outcome, e.LimitMs = Waits, p.waitLimit(j).Milliseconds()
 		e.Refusal = &Refusal{http.StatusServiceUnavailable, "no target had capacity within " + p.waitLimit(j).Round(time.Millisecond).String(), retry}
-		if v, hopeless := predicted.(queue.Refuse); hopeless {
+		if v, refused := predicted.(queue.Refuse); refused {
 			e.Outcome, e.LimitMs = Rejected, 0
 			e.Refusal = &Refusal{http.StatusServiceUnavailable, predictedWaitReason(v), max(v.RetryAfter, limitedFor).Milliseconds()}
 		}
 	default:
 		e.Refusal = &Refusal{http.StatusServiceUnavailable, p.noTargetReason(j), retry}
 	}
+	e.Targets = p.explainTargets(j, s, eligible, e.Target)
+}
+
+// explainTargets explains the choice for each target of the service, of which one is chosen
+// if chosen is not empty.
+func (p *Proxy) explainTargets(j *job, s selection, eligible []fleet.Status, chosen string) []ExplainedTarget {
+	var out []ExplainedTarget
 	evaluations := j.evaluate(s.candidates)
 	for _, t := range p.fleet.Serving(j.service.Name) {
 		i := indexOf(s.targets, t.ID)
 		if i < 0 {
-			e.Targets = append(e.Targets, p.explainOther(j, t, indexOf(eligible, t.ID) >= 0))
+			out = append(out, p.explainOther(j, t, indexOf(eligible, t.ID) >= 0))
 			continue
 		}
-		e.Targets = append(e.Targets, ExplainedTarget{
+		out = append(out, ExplainedTarget{
 			ID: t.ID, Zone: t.Zone, Leaving: j.zones.of(t.Zone), Candidate: true, CostMs: evaluations[i].CostMs, Rank: evaluations[i].Rank,
-			Reason: candidateReason(s.candidates[i], evaluations[i], t.ID == e.Target),
+			Reason: candidateReason(s.candidates[i], evaluations[i], t.ID == chosen),
 		})
 	}
+	return out
 }
 
 // explainPlace finds the place of a request among those that wait, and judges the wait that
@@ -171,7 +178,7 @@
 		items = append(items, w.item)
 	}
 	item := j.queueItem(now)
-	item.Excess = q.shares.Excess(j.accountName())
+	item.Overuse = q.shares.Overuse(j.accountName())
 	items = append(items, item)
 	e.Waiting = len(items)
 	key := j.allowed.Key()
@@ -226,7 +233,7 @@
 	return out
 }
 
-// evaluate returns what the choice among candidates knows of each.
+// evaluate returns the evaluation of each candidate.
 func (j *job) evaluate(cs []place.Candidate) []place.Evaluation {
 	if j.Prompt == nil {
 		return place.EvaluateTargets(cs, j.costs)
--- a/internal/proxy/passes_test.go
+++ b/internal/proxy/passes_test.go
@@ -61,10 +61,10 @@
 	for n := range 20 {
 		add(fmt.Sprint("oslo-", n), homes.Of([]string{"oslo"}), now, time.Minute)
 	}
-	p.refuseHopeless(q, now)
+	p.refusePredictedLate(q, now)
 	now += 5 * time.Second
 	w := add("any", homes.Regions{}, now, 10*time.Second)
-	p.refuseHopeless(q, now)
+	p.refusePredictedLate(q, now)
 	if len(w.result) > 0 {
 		t.Errorf("the request got %#v", <-w.result)
 	}
--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -37,8 +37,8 @@
 func (p *Proxy) selectWithRoom(j *job, s selection) selection {
 	now, q := wire.BootTime(), p.waitQueue(j.service.Name)
 	demand := &q.demand
-	reserve := demand.Reserve(j.kind(now), p.hosts(), j.engines, now).Scale(j.patience(now))
-	admitted := s.keep(room.Admit(s.engines(j.costs), j.ask(), reserve))
+	reserve := demand.Reserve(j.kind(now), p.hosts(), j.engines, now).Scale(j.remainingWaitShare(now))
+	admitted := s.keep(room.Admit(s.engines(j.costs), j.load(), reserve))
 	if len(admitted.targets) == 0 {
 		p.Metrics.Count("kept out by reserve")
 		return selection{choice: place.Full{}}
@@ -49,7 +49,7 @@
 		s.choice = place.Full{}
 		return s
 	}
-	preferred := admitted.keep(room.Admit(admitted.engines(j.costs), j.ask(), demand.Unseen(p.hosts(), j.engines, now)))
+	preferred := admitted.keep(room.Admit(admitted.engines(j.costs), j.load(), demand.Unseen(p.hosts(), j.engines, now)))
 	preferred.choice = p.pickCandidate(j, preferred.candidates)
 	if _, ok := preferred.choice.(place.Selected); ok {
 		return preferred
@@ -72,18 +72,18 @@
 		total += t.InFlight.Calls + t.OthersInFlight.Calls
 	}
 	j.free = free
-	return q.pace.Wait(j.ask(), free, room.Share(own, total, hosts), now)
+	return q.pace.Wait(j.load(), free, room.Share(own, total, hosts), now)
 }
 
 // sharesRoom reports whether the rules of package room apply to a request. Where a few hosts
-// share the engines, they know the calls of each other early enough, and the cost decides.
+// share the engines, they receive the loads of each other early enough, and the cost decides.
 func (j *job) sharesRoom() bool {
 	return j.Prompt != nil && j.service.Engine != nil && j.costs.Choices > 0 && !j.binding.bound
 }
 
-// patience is the share of the time for which a request may wait that is left. The reserve
-// shrinks with it, so that nobody is kept out forever.
-func (j *job) patience(now time.Duration) float64 {
+// remainingWaitShare is the remaining share of the time for which a request may wait. The
+// reserve shrinks with it, so that no request is kept out forever.
+func (j *job) remainingWaitShare(now time.Duration) float64 {
 	limit := j.latestStart(j.waitingSince) - j.waitingSince
 	if j.waitingSince == 0 || limit <= 0 {
 		return 0
@@ -91,13 +91,13 @@
 	return max(1-float64(now-j.waitingSince)/float64(limit), 0)
 }
 
-// ask is what a request asks of an engine.
-func (j *job) ask() room.Load {
+// load is the load of a request on an engine.
+func (j *job) load() room.Load {
 	return room.Load{Calls: 1, Tokens: float64(j.Prompt.InputTokens + j.Prompt.MaxOutputTokens)}
 }
 
 // kind is what the caller needs. A request past its latency target yields to those that can
-// still meet theirs, at all hosts: all that is left of its target is its deadline.
+// still meet theirs, at all hosts: its target becomes its deadline.
 func (j *job) kind(now time.Duration) room.Kind {
 	target := j.route.LatencyTarget
 	if now > j.Arrived+target {
@@ -109,6 +109,6 @@
 // recordDemand records a request that arrives.
 func (p *Proxy) recordDemand(j *job, now time.Duration) {
 	if j.Prompt != nil && j.deliveries == 0 {
-		p.waitQueue(j.service.Name).demand.Arrived(j.kind(j.Arrived), j.ask(), now)
+		p.waitQueue(j.service.Name).demand.Arrived(j.kind(j.Arrived), j.load(), now)
 	}
 }
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -84,16 +84,6 @@
 	pace   room.Pace
 }
 
-// ratesOf returns the rates for the requests with a set of allowed regions.
-func (q *waitQueue) ratesOf(regionsKey string) *queue.Rates {
-	r, ok := q.rates[regionsKey]
-	if !ok {
-		r = &queue.Rates{}
-		q.rates[regionsKey] = r
-	}
-	return r
-}
-
 // waitQueue returns the queue of a service. The caller holds placementMu.
 func (p *Proxy) waitQueue(service string) *waitQueue {
 	q, ok := p.waitQueues[service]
@@ -232,21 +222,21 @@
 			continue
 		case granted:
 			if w.job.free != (room.Load{}) {
-				q.pace.Sent(w.job.ask(), w.job.free)
+				q.pace.Sent(w.job.load(), w.job.free)
 			}
 			all.granted(w.item, w.job.allowed, p.region(v.Zone))
 			q.recordGrant(w, now)
 		}
 		w.result <- v
 	}
-	p.refuseHopeless(q, now)
+	p.refusePredictedLate(q, now)
 }
 
 // inOrder returns the waiting requests in the order in which they should be placed.
 func (q *waitQueue) inOrder(now time.Duration) []*waiter {
 	items := make([]queue.Item, len(q.waiters))
 	for i, w := range q.waiters {
-		w.item.Excess = q.shares.Excess(w.job.accountName())
+		w.item.Overuse = q.shares.Overuse(w.job.accountName())
 		items[i] = w.item
 	}
 	sorted := make([]*waiter, 0, len(q.waiters))
@@ -256,64 +246,6 @@
 	return sorted
 }
 
-// recordGrant records that a request has got a target.
-func (q *waitQueue) recordGrant(w *waiter, now time.Duration) {
-	q.shares.Placed(w.job.accountName(), w.item.Size, now)
-	if w.missed {
-		q.ratesOf(w.job.allowed.Key()).Granted(w.item, now)
-	}
-}
-
-// observe records which requests wait for a target from now on.
-func (q *waitQueue) observe(now time.Duration) {
-	q.observeWaiting(q.workByRegions(), now)
-}
-
-// workByRegions returns the work of the waiting requests by the key of their allowed regions.
-func (q *waitQueue) workByRegions() map[string]queue.Waiting {
-	work := map[string]queue.Waiting{}
-	for _, w := range q.waiters {
-		if !w.onTrial {
-			addWork(work, w)
-		}
-	}
-	return work
-}
-
-func addWork(work map[string]queue.Waiting, w *waiter) {
-	key := w.job.allowed.Key()
-	sum := work[key]
-	sum.Add(w.item)
-	work[key] = sum
-}
-
-func (q *waitQueue) observeWaiting(work map[string]queue.Waiting, now time.Duration) {
-	for key, r := range q.rates {
-		r.Observe(work[key], now)
-	}
-}
-
-// refuseHopeless refuses the waiting requests that would get room too late, by the rate at
-// which others with the same allowed regions got it. The waiters are in queue order.
-func (p *Proxy) refuseHopeless(q *waitQueue, now time.Duration) {
-	before := map[string]queue.Waiting{}
-	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
-		if w.onTrial {
-			return false
-		}
-		key := w.job.allowed.Key()
-		predicted := q.ratesOf(key).Wait(before[key], w.item, now)
-		verdict, hopeless := queue.Judge(w.item, predicted, now, randomFraction()).(queue.Refuse)
-		if hopeless {
-			w.result <- overloaded{verdict}
-			return true
-		}
-		addWork(before, w)
-		return false
-	})
-	q.observeWaiting(before, now)
-}
-
 // latestStart is the latest time at which a request that is queued at a time is of use to its
 // caller, who may leave a stream that has not begun after some latency targets.
 func (j *job) latestStart(queued time.Duration) time.Duration {
@@ -421,7 +353,7 @@
 }
 
 // setLimitedFor records the wait for targets with a limit, if no other target is eligible: a
-// refused caller need not stay away for as long if another one has no room at the moment.
+// refused caller need not wait for as long if another one has no room at the moment.
 func (j *job) setLimitedFor(eligible []fleet.Status, limitedFor time.Duration) {
 	j.limitedFor = 0
 	if len(eligible) == 0 {
--- a/internal/queue/doc.go
+++ b/internal/queue/doc.go
@@ -1,6 +1,6 @@
-// Package queue decides who goes first and who is refused among the requests that wait for
-// capacity at the targets of a service. All decisions are pure: time and random numbers are
-// arguments.
+// Package queue decides the order of the requests that wait for capacity at the targets of
+// a service, and which of them are refused. All decisions are pure: time and random numbers
+// are arguments.
 //
 // Order: requests that can still meet their latency target come first, earliest end of the
 // target first. Less urgent requests, and those of accounts that got more than an equal
@@ -8,7 +8,7 @@
 // their latency target come last.
 //
 // Pass: a large request that finds no room does not hold up smaller ones behind it, until
-// they have taken twice the room that it asks for.
+// they have taken twice the room that it needs.
 //
 // Rates and Judge: the wait of a request is predicted from the work before it and the rate
 // at which requests of its size have got room lately. One that would start too late to be of
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -13,7 +13,7 @@
 type Item struct {
 	Arrived time.Duration
 	// LatencyTarget is the latency target, counted from the arrival. An answer within it
-	// gets the full score.
+	// is on time.
 	LatencyTarget time.Duration
 	// Latest is the latest time at which a run may start to be of use to the caller, Deadline
 	// the time at which the caller gives up.
@@ -27,12 +27,12 @@
 	// Began is set if the request may have run at a target. It is not refused early, as it
 	// cannot be promised to its caller that it has not run.
 	Began bool
-	// Size is the work that the request asks for: its tokens in the memory of an engine, or
+	// Size is the work of the request: its tokens in the memory of an engine, or
 	// 1 without a prompt.
 	Size int
-	// Excess is how far the client account is above an equal share of the work that was
+	// Overuse is how far the client account is above an equal share of the work that was
 	// placed recently, from 0 to 1.
-	Excess float64
+	Overuse float64
 	// Overtaken is the work that was placed while the request, which came first in the
 	// order, found no room.
 	Overtaken int
@@ -68,7 +68,7 @@
 }
 
 // slack is the time for which more urgent requests, and those of other accounts, that
-// arrive later still come first. It is bounded, so that nobody is overtaken forever.
+// arrive later still come first. It is bounded, so that no request is overtaken forever.
 func (i Item) slack() time.Duration {
-	return time.Duration(slackPerStep * (float64(i.Priority) + i.Excess) * float64(i.LatencyTarget))
+	return time.Duration(slackPerStep * (float64(i.Priority) + i.Overuse) * float64(i.LatencyTarget))
 }
--- a/internal/queue/replay_test.go
+++ b/internal/queue/replay_test.go
@@ -44,7 +44,7 @@
 func (r *replayed) dispatch(room int) string {
 	var out []string
 	for i := range r.waiting {
-		r.waiting[i].Excess = r.shares.Excess(r.account[r.waiting[i].Arrived])
+		r.waiting[i].Overuse = r.shares.Overuse(r.account[r.waiting[i].Arrived])
 	}
 	items := make([]queue.Item, 0, len(r.waiting))
 	for _, i := range queue.Order(r.waiting, r.now) {
--- a/internal/queue/shares.go
+++ b/internal/queue/shares.go
@@ -31,16 +31,16 @@
 	s.total += float64(size)
 }
 
-// Excess is how far an account is above an equal share of the work, from 0 to 1, which
+// Overuse is how far an account is above an equal share of the work, from 0 to 1, which
 // stands for twice the share or more.
-func (s *Shares) Excess(account string) float64 {
+func (s *Shares) Overuse(account string) float64 {
 	if s.total == 0 {
 		return 0
 	}
 	return min(max(s.work[account]/s.total*float64(len(s.work))-1, 0), 1)
 }
 
-// advance lets the recorded work count less, once it has lost a tenth of its weight or so.
+// advance lets the recorded work count less, at most once in an eighth of the half-life.
 func (s *Shares) advance(now time.Duration) {
 	elapsed := now - s.at
 	if elapsed < shareHalfLife/8 {
--- a/internal/room/demand.go
+++ b/internal/room/demand.go
@@ -9,7 +9,7 @@
 const (
 	// demandTime is the time over which the demand is averaged.
 	demandTime = 2 * time.Second
-	// noticeTime is the time after which a host has certainly heard of the calls of others.
+	// noticeTime is the time after which a host has certainly received the loads of others.
 	noticeTime = 500 * time.Millisecond
 	// minDemand is the number of recent requests below which a kind has no demand.
 	minDemand = 0.1
@@ -28,31 +28,32 @@
 	return k != other && k.Priority <= other.Priority && k.Target <= other.Target
 }
 
-// Demand measures what the requests of each kind ask for. The zero value has seen none.
+// Demand measures the load of the requests of each kind. The zero value has seen none.
 type Demand struct {
-	asked map[Kind]Load
-	at    time.Duration
+	recent map[Kind]Load
+	at     time.Duration
 }
 
 // Clone returns a copy that records requests of its own.
-func (d *Demand) Clone() Demand { return Demand{asked: maps.Clone(d.asked), at: d.at} }
+func (d *Demand) Clone() Demand { return Demand{recent: maps.Clone(d.recent), at: d.at} }
 
 // Arrived records a request.
-func (d *Demand) Arrived(k Kind, ask Load, now time.Duration) {
+func (d *Demand) Arrived(k Kind, request Load, now time.Duration) {
 	d.advance(now)
-	if d.asked == nil {
-		d.asked = map[Kind]Load{}
+	if d.recent == nil {
+		d.recent = map[Kind]Load{}
 	}
-	d.asked[k] = d.asked[k].add(ask)
+	d.recent[k] = d.recent[k].add(request)
 }
 
-// Reserve is what a request of a kind leaves free at each engine: what more urgent ones ask
-// of it, at all hosts together, before this host hears of them.
+// Reserve is what a request of a kind leaves free at each engine: the load that more urgent
+// ones add, at all hosts together, before this host receives the loads of the others.
 func (d *Demand) Reserve(k Kind, hosts, engines int, now time.Duration) Load {
 	return d.unseen(hosts, engines, now, func(other Kind) bool { return other.before(k) })
 }
 
-// Unseen is what requests of all kinds ask of each engine before this host hears of them.
+// Unseen is the load that requests of all kinds add to each engine before this host receives
+// the loads of the others.
 func (d *Demand) Unseen(hosts, engines int, now time.Duration) Load {
 	return d.unseen(hosts, engines, now, func(Kind) bool { return true })
 }
@@ -60,7 +61,7 @@
 func (d *Demand) unseen(hosts, engines int, now time.Duration, counts func(Kind) bool) Load {
 	d.advance(now)
 	var sum Load
-	for k, l := range d.asked {
+	for k, l := range d.recent {
 		if counts(k) {
 			sum = sum.add(l)
 		}
@@ -72,12 +73,12 @@
 // advance lets earlier demand count less.
 func (d *Demand) advance(now time.Duration) {
 	decay := math.Exp(-float64(max(now-d.at, 0)) / float64(demandTime))
-	for k, l := range d.asked {
+	for k, l := range d.recent {
 		if l = l.Scale(decay); l.Calls < minDemand {
-			delete(d.asked, k)
+			delete(d.recent, k)
 			continue
 		}
-		d.asked[k] = l
+		d.recent[k] = l
 	}
 	d.at = now
 }
--- a/internal/room/doc.go
+++ b/internal/room/doc.go
@@ -2,11 +2,11 @@
 // hold at most.
 //
 // An engine has several resources: slots and memory in tokens, which a request holds until
-// it ends. Hosts see the calls of each other late, so that an engine holds more than a host
-// knows. Three rules follow from the measured demand:
+// it ends. Hosts see the calls of each other late, so that an engine holds more than a
+// host has data on. Three rules follow from the measured demand:
 //
 //   - A less urgent request leaves free what more urgent ones are expected to take before the
-//     host hears of them. The reserve follows the demand, so that others use it while there
+//     host receives their loads. The reserve follows the demand, so that others use it while there
 //     is none, and it never ends a run.
 //
 //   - Any request prefers engines that leave free what all others are expected to take, as an
@@ -19,8 +19,8 @@
 //
 // # Usage
 //
-//	demand.Arrived(kind, ask, now)
-//	free := room.Admit(engines, ask, demand.Reserve(kind, hosts, len(engines), now))
-//	preferred := room.Admit(engines, ask, demand.Unseen(hosts, len(engines), now))
-//	wait := pace.Wait(ask, room.Free(engines), share, now)
+//	demand.Arrived(kind, request, now)
+//	free := room.Admit(engines, request, demand.Reserve(kind, hosts, len(engines), now))
+//	preferred := room.Admit(engines, request, demand.Unseen(hosts, len(engines), now))
+//	wait := pace.Wait(request, room.Free(engines), share, now)
 package room
--- a/internal/room/pace.go
+++ b/internal/room/pace.go
@@ -10,7 +10,7 @@
 const shortFactor = 2
 
 // Pace bounds what a host sends while room is short. All hosts see the same free room, and
-// each of them would fill it before it hears of the others. The zero value may send nothing
+// each of them would fill it before it receives the loads of the others. The zero value may send nothing
 // yet, but gets its share within noticeTime.
 type Pace struct {
 	// credit is the share of the free room that the host may still use.
@@ -50,8 +50,8 @@
 
 // Wait returns how long a host with a share of all requests has to wait until it may send
 // one more; zero if it may now.
-func (p *Pace) Wait(ask, free Load, share float64, now time.Duration) time.Duration {
-	need := portion(ask, free)
+func (p *Pace) Wait(request, free Load, share float64, now time.Duration) time.Duration {
+	need := portion(request, free)
 	p.credit = min(p.credit+share*float64(max(now-p.at, 0))/float64(noticeTime), max(share, need))
 	p.at = now
 	if p.credit >= need || share <= 0 {
@@ -61,15 +61,15 @@
 }
 
 // Sent records that a request was sent.
-func (p *Pace) Sent(ask, free Load) { p.credit = max(p.credit-portion(ask, free), 0) }
+func (p *Pace) Sent(request, free Load) { p.credit = max(p.credit-portion(request, free), 0) }
 
 // portion is the share of the free room that a request takes; 1 at most.
-func portion(ask, free Load) float64 {
-	part := func(ask, free float64) float64 {
+func portion(request, free Load) float64 {
+	part := func(request, free float64) float64 {
 		if free <= 0 {
 			return 1
 		}
-		return min(ask/free, 1)
+		return min(request/free, 1)
 	}
-	return math.Max(part(ask.Calls, free.Calls), part(ask.Tokens, free.Tokens))
+	return math.Max(part(request.Calls, free.Calls), part(request.Tokens, free.Tokens))
 }
--- a/internal/room/pace_test.go
+++ b/internal/room/pace_test.go
@@ -25,7 +25,7 @@
 	var total, seen [engines]int
 	var own, ownSeen [hosts][engines]int
 	var running []call
-	ask, sum := room.Load{Calls: 1, Tokens: 1}, 0
+	request, sum := room.Load{Calls: 1, Tokens: 1}, 0
 	for now := 0; now < endMs; now += stepMs {
 		left := running[:0]
 		for _, c := range running {
@@ -51,10 +51,10 @@
 				}
 			}
 			free := room.Free(view)
-			if len(open) == 0 || paced && paces[h].Wait(ask, free, 1.0/hosts, time.Duration(now)*time.Millisecond) > 0 {
+			if len(open) == 0 || paced && paces[h].Wait(request, free, 1.0/hosts, time.Duration(now)*time.Millisecond) > 0 {
 				continue
 			}
-			paces[h].Sent(ask, free)
+			paces[h].Sent(request, free)
 			e := open[r.IntN(len(open))]
 			total[e]++
 			own[h][e]++
@@ -66,7 +66,7 @@
 	return most, float64(sum) / (endMs / stepMs) / engines
 }
 
-// Guards against hosts that all fill the same free room before they hear of each other:
+// Guards against hosts that all fill the same free room before they receive the loads of each other:
 // engines of 16 slots got four times as many calls as soon as some of them ended.
 var _ = Describe("many hosts with more requests than room", func() {
 	It("send no more than their share of the room that they see", func() {
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -12,27 +12,27 @@
 // maxReserve is the largest share of a resource that is reserved.
 const maxReserve = 0.5
 
-// Admit returns for each engine whether a request that asks for a load leaves the reserve
-// free there.
-func Admit(engines []Engine, ask, reserve Load) []bool {
+// Admit returns for each engine whether a request with a load leaves the reserve free
+// there.
+func Admit(engines []Engine, request, reserve Load) []bool {
 	out := make([]bool, len(engines))
 	for i, e := range engines {
-		out[i] = e.leaves(ask, reserve)
+		out[i] = e.leaves(request, reserve)
 	}
 	return out
 }
 
 // leaves reports whether the reserve stays free if the engine takes a request. One without
 // calls takes any.
-func (e Engine) leaves(ask, reserve Load) bool {
+func (e Engine) leaves(request, reserve Load) bool {
 	if e.Held.Calls == 0 {
 		return true
 	}
-	fits := func(held, limit, ask, reserve float64) bool {
-		return limit <= 0 || reserve <= 0 || held+ask+min(reserve, maxReserve*limit) <= limit
+	fits := func(held, limit, request, reserve float64) bool {
+		return limit <= 0 || reserve <= 0 || held+request+min(reserve, maxReserve*limit) <= limit
 	}
-	return fits(e.Held.Calls, e.Limit.Calls, ask.Calls, reserve.Calls) &&
-		fits(e.Held.Tokens, e.Limit.Tokens, ask.Tokens, reserve.Tokens)
+	return fits(e.Held.Calls, e.Limit.Calls, request.Calls, reserve.Calls) &&
+		fits(e.Held.Tokens, e.Limit.Tokens, request.Tokens, reserve.Tokens)
 }
 
 func (l Load) add(m Load) Load {
