Say what hosts receive and have data on, not what they know

Comments and test descriptions of evacuation, gossip, cold targets and zones said that hosts know, ask, hear or are told. evac.Log.known is loaded, zones.deadShare is deadBand.

No behaviour change. go test of internal/evac, gossip, fleet, kvcat, place, rates, speed, zones and proxy passes.

--- a/internal/evac/doc.go
+++ b/internal/evac/doc.go
@@ -1,13 +1,13 @@
-// Package evac knows which availability zones the operator has evacuated, so that nothing
+// Package evac records which availability zones the operator has evacuated, so that nothing
 // more is sent to their targets.
 //
-// The operator writes and removes rows on the platform. What a host knows is a view: the
+// The operator writes and removes rows on the platform. A host holds a view: the
 // evacuated zones as of a position in the operator's table. Hosts read the table, and send
 // each other their views. The view with the newer position replaces the older one, so that an
 // older row never undoes a newer one, whichever way it comes.
 //
 // A platform that returns from an older copy (a newer era) may have lost rows that it had
-// acknowledged. A zone that a host knew as evacuated in the era before therefore stays
+// acknowledged. A zone that a host had as evacuated in the era before therefore stays
 // evacuated for lostRowHold if the new era lacks its row, in which time the operator writes
 // the row again.
 //
--- a/internal/evac/evac.go
+++ b/internal/evac/evac.go
@@ -27,9 +27,9 @@
 	At feed.Position
 }
 
-// View is what a host knows, as it is sent to other hosts.
+// View is the state of a host, as it is sent to other hosts.
 type View struct {
-	// Era and Version are the position in the operator's table up to which the host knows
+	// Era and Version are the position in the operator's table up to which the host has
 	// all rows.
 	Era     uint64 `cbor:"1,keyasint,omitempty"`
 	Version uint64 `cbor:"2,keyasint,omitempty"`
@@ -58,9 +58,9 @@
 // Log holds the evacuated zones. It is safe for concurrent use.
 type Log struct {
 	mu sync.Mutex
-	// known is set once the host has read the table or received a view.
-	known bool
-	// asOf is the position up to which all rows are known, and zones are the evacuated ones
+	// loaded is set once the host has read the table or received a view.
+	loaded bool
+	// asOf is the position up to which the host has all rows, and zones are the evacuated ones
 	// at that position.
 	asOf  feed.Position
 	zones map[string]bool
@@ -104,7 +104,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.changed(now, func() {
-		if l.known && v.Era < l.asOf.Era {
+		if l.loaded && v.Era < l.asOf.Era {
 			for _, zone := range v.Zones {
 				l.hold(zone, now)
 			}
@@ -122,16 +122,16 @@
 
 // replace replaces the view by a newer one.
 func (l *Log) replace(zones []string, at feed.Position, now time.Duration) {
-	if l.known && at.Before(l.asOf) {
+	if l.loaded && at.Before(l.asOf) {
 		return
 	}
 	before := l.zones
-	newEra := l.known && at.Era > l.asOf.Era
+	newEra := l.loaded && at.Era > l.asOf.Era
 	if newEra {
 		before = l.evacuated(now)
 		l.heldUntil = map[string]time.Duration{}
 	}
-	l.known, l.asOf, l.zones = true, at, map[string]bool{}
+	l.loaded, l.asOf, l.zones = true, at, map[string]bool{}
 	for _, zone := range zones {
 		l.apply(Change{Zone: zone, Evacuated: true})
 	}
@@ -210,12 +210,12 @@
 	return slices.Sorted(maps.Keys(l.evacuated(now)))
 }
 
-// View returns what this host knows for other hosts; nil as long as no zone was ever
+// View returns the view of this host for other hosts; nil as long as no zone was ever
 // evacuated.
 func (l *Log) View(now time.Duration) *View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.known || !l.used.Load() {
+	if !l.loaded || !l.used.Load() {
 		return nil
 	}
 	v := &View{Era: l.asOf.Era, Version: l.asOf.Version, Zones: slices.Sorted(maps.Keys(l.zones))}
--- a/internal/evac/model_test.go
+++ b/internal/evac/model_test.go
@@ -80,7 +80,7 @@
 	m.record()
 }
 
-// read lets a host read the table as it was at a position, as a hub may be behind: it lists the
+// read lets a host read the table as it was at a position, as a hub may lag: it lists the
 // table, or reads the changes since its last read. No zone that the operator wants evacuated
 // may get requests again because of a read of the newest position.
 func (m *model) read(t *rapid.T, h *modelHost, at feed.Position, list bool) {
@@ -114,11 +114,11 @@
 	return changes
 }
 
-// check compares each host with the store at the position that the host knows, and a host
-// that knows the newest position with what the operator wants.
+// check compares each host with the store at the position of its view, and a host
+// whose view has the newest position with what the operator wants.
 func (m *model) check(t *rapid.T) {
 	for i, h := range m.hosts {
-		if !h.log.known {
+		if !h.log.loaded {
 			continue
 		}
 		if h.log.asOf.Before(h.knewAt) {
@@ -182,7 +182,7 @@
 // operator has written it again, and against one that no row takes back any more.
 func TestRowLostInRestore(t *testing.T) {
 	for _, peer := range []bool{false, true} {
-		t.Run(fmt.Sprint("known from another host ", peer), func(t *testing.T) {
+		t.Run(fmt.Sprint("received from another host ", peer), func(t *testing.T) {
 			l, now := New(), time.Minute
 			if peer {
 				l.ApplyList(nil, feed.Position{Era: 1, Version: 3}, now)
@@ -196,7 +196,7 @@
 			}
 			l.Merge(View{Version: 9, Zones: []string{"a"}}, now+lostRowHold/2)
 			if l.Evacuated("a", now+lostRowHold) {
-				t.Fatal("the zone stays evacuated although nobody wants it")
+				t.Fatal("the zone stays evacuated although the operator took it back")
 			}
 			rewritten := Change{Zone: "a", Evacuated: true, At: feed.Position{Era: 1, Version: 4}}
 			l.ApplyChanges([]Change{rewritten}, rewritten.At, now)
@@ -207,7 +207,7 @@
 	}
 }
 
-// Guards against messages and locks that no configuration asks for.
+// Guards against messages and locks that no configuration requires.
 func TestOffWithoutEvacuation(t *testing.T) {
 	l := New()
 	l.ApplyList(nil, feed.Position{Version: 5}, 0)
@@ -216,8 +216,8 @@
 	}
 }
 
-// Guards against rows from a hub that is behind, or from a host that was cut off, that undo
-// what the host has learned since. Random sequences seldom reach these.
+// Guards against rows from a hub that lags, or from a host that was cut off, that undo
+// what the host has received since. Random sequences seldom reach these.
 func TestOlderRowsAfterNewerView(t *testing.T) {
 	at := func(version uint64) feed.Position { return feed.Position{Era: 1, Version: version} }
 	l := New()
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -66,11 +66,11 @@
 
 // coldLimit returns the number of requests a second that a target takes because it is cold;
 // Unlimited if it is not. One that this host could not reach may have restarted and is taken for
-// cold until a probe has asked it.
+// cold until a probe succeeds.
 func (f *Fleet) coldLimit(s *state, now time.Duration) float64 {
 	perSecond := f.coldness(s.Service).PerSecond
-	unasked := s.doubted() && !f.tunneled(s, now)
-	if perSecond <= 0 || now >= s.coldUntil && !unasked {
+	unprobed := s.doubted() && !f.tunneled(s, now)
+	if perSecond <= 0 || now >= s.coldUntil && !unprobed {
 		return Unlimited
 	}
 	return rates.ColdLimit(perSecond)
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -12,7 +12,8 @@
 	"sesamehill.example/sesamehill/internal/fleet"
 )
 
-// TestCold plays testdata/cold.txtar.
+// Guards against a target that gets more than it takes while it is cold, and one that is held
+// back when it is not. The cases are in testdata/cold.txtar.
 func TestCold(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/cold.txtar")
 	if err != nil {
--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -132,8 +132,8 @@
 	case Served:
 		s.updateFailureRate(0, now)
 		// A host that is cut off is served on connections that have lived on or lead through
-		// other hosts. Only probes show that new connections succeed again. They also ask a
-		// target that may have restarted since whether it is cold.
+		// other hosts. Only probes show that new connections succeed again. They also check
+		// whether a target that may have restarted since is cold.
 		if s.doubted() && !isolated(f.services[s.Service]) && (startedAt < s.doubtedAt || !f.CanBeCold(s.Service)) {
 			f.markReachable(s, now)
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -90,8 +90,8 @@
 	Software origin.Sightings `cbor:"21,keyasint,omitempty"`
 	// Begun are streams that began at the sender of a Streams message.
 	Begun []origin.Begun `cbor:"22,keyasint,omitempty"`
-	// Evacuated are the zones that the sender knows as evacuated; nil as long as there were
-	// none.
+	// Evacuated is the view of the sender; nil as long as no
+	// zone was evacuated.
 	Evacuated *evac.View `cbor:"24,keyasint,omitempty"`
 	// Config is the version of the operator configuration in force at the sender; zero if
 	// it has none.
@@ -192,9 +192,9 @@
 
 // Evacuations holds the zones that the operator has evacuated.
 type Evacuations interface {
-	// EvacuationView returns what this host knows; nil as long as no zone was evacuated.
+	// EvacuationView returns the view of this host; nil as long as no zone was evacuated.
 	EvacuationView() *evac.View
-	// RecordEvacuationView records what another host knows.
+	// RecordEvacuationView records the view of another host.
 	RecordEvacuationView(host string, v evac.View)
 }
 
@@ -237,7 +237,7 @@
 	leader string
 	// followers holds the boot time of the last query of each follower.
 	followers map[string]time.Duration
-	// loads paces the messages with in-flight load that this host sends or asks for, replies
+	// loads paces the messages with in-flight load that this host sends or requests, replies
 	// those that it sends to followers.
 	loads, replies pace
 	// linkMbps is the rate of this host's link; zero if unknown.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -131,7 +131,7 @@
 	})
 
 	// Guards against a host that cannot read the platform and sends requests to a zone which
-	// other hosts know as evacuated, or to none that was taken back.
+	// other hosts have as evacuated, or to none that was taken back.
 	It("sends the evacuated zones", func() {
 		at := func(version uint64) feed.Position { return feed.Position{Version: version} }
 		evacuated[0].ApplyList(nil, at(3), 0)
--- a/internal/gossip/pace.go
+++ b/internal/gossip/pace.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// The shares of a link that in-flight load may use, where the rate of the link is known:
+// The shares of a link that in-flight load may use, where the rate of the link is configured:
 // followers' replies, the updates of a hub and the replies of a hub. The constants in bytes
-// per second hold for slower links and where it is not known.
+// per second hold for slower links and where it is not configured.
 const (
 	followerLinkShare  = 0.05
 	hubUpdateLinkShare = 0.05
--- a/internal/gossip/pace_test.go
+++ b/internal/gossip/pace_test.go
@@ -10,7 +10,7 @@
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
-// Guards against hosts that know the backlog of engines only when it is over, and against
+// Guards against hosts that receive the backlog of engines only when it is over, and against
 // messages with load that fill a slow link.
 var _ = Describe("the pace of in-flight load", func() {
 	hubs := Topology{Hubs: []string{"hub"}}
@@ -33,11 +33,11 @@
 		}
 		return count
 	}
-	It("asks for load more often while calls are in flight", func() {
+	It("requests load more often while calls are in flight", func() {
 		e := New("", "follower", fleet.New(), nil, WithLink(10))
 		Expect(queried(e, 3, 2000)).To(BeNumerically(">=", 10))
 	})
-	It("asks seldom while nothing is in flight", func() {
+	It("sends few queries while nothing is in flight", func() {
 		e := New("", "follower", fleet.New(), nil, WithLink(10))
 		Expect(queried(e, 0, 2000)).To(BeNumerically("<=", 6))
 	})
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -94,7 +94,7 @@
 }
 
 // nextHub returns the hub to query; empty if this host has none. It returns false if no query
-// is due: between two of them a follower asks for load only, while calls are in flight.
+// is due: between two of them a follower requests load only, while calls are in flight.
 func (e *Exchange) nextHub(t Topology) (hub string, due bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/kvcat/plan.go
+++ b/internal/kvcat/plan.go
@@ -40,7 +40,7 @@
 // Namespace returns the cache namespace of an account's KV cache entries. Each
 // weight version has its own, and so has each dedicated account and each set of allowed
 // regions. Without the last, a prompt that may be served anywhere would move the entries
-// of a restricted one to another region, as entries do not tell which prompts made them.
+// of a restricted one to another region, as entries do not record which prompts made them.
 func (*Catalog) Namespace(model string, version int, account *opconf.Account, allowed homes.Regions) string {
 	namespace, owner := model+"/"+strconv.Itoa(version), ""
 	if account != nil && account.Dedicated {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -99,7 +99,7 @@
 	PrefillBacklogMs float64
 	// PatienceMs is how long a request waits until each further millisecond raises
 	// this limit by PatienceShare, so that small requests cannot overtake a large one
-	// forever.
+	// without end.
 	PatienceMs    float64
 	PatienceShare float64
 	// Choices is the number of engines that are evaluated for a request at first.
@@ -159,7 +159,7 @@
 func (NoCandidate) choice() {}
 
 // WithSpeed returns the cost model for a service whose targets prefill a token and do plain
-// work in a measured time. Zero stands for a time that is not known.
+// work in a measured time. Zero stands for a time that was not measured.
 func (k Costs) WithSpeed(prefillMs, plainMs float64) Costs {
 	if prefillMs > 0 {
 		k.PrefillMs = prefillMs
@@ -199,7 +199,7 @@
 	}
 }
 
-// Evaluation is what a choice knows of one candidate.
+// Evaluation is the evaluation of one candidate.
 type Evaluation struct {
 	// CostMs is the expected cost, HasRoom whether the request fits now.
 	CostMs  float64
@@ -208,7 +208,7 @@
 	Rank int
 }
 
-// EvaluateEngines returns what ChooseEngine knows of each candidate.
+// EvaluateEngines returns the evaluation of each candidate by ChooseEngine.
 func EvaluateEngines(w Work, cs []Candidate, k Costs) []Evaluation {
 	scores := scoresOf(w.Subject, cs)
 	out := evaluateAll(cs, k.engineEvaluator(w, preferredOf(cs, scores)))
@@ -218,7 +218,7 @@
 	return out
 }
 
-// EvaluateTargets returns what ChooseTarget knows of each candidate.
+// EvaluateTargets returns the evaluation of each candidate by ChooseTarget.
 func EvaluateTargets(cs []Candidate, k Costs) []Evaluation { return evaluateAll(cs, k.evaluateTarget) }
 
 func evaluateAll(cs []Candidate, evaluate evaluator) []Evaluation {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -76,7 +76,7 @@
 	return p.placement.Load().ChooseEngine(j.work(), cs, j.costs)
 }
 
-// work returns the work that a request with a prompt asks of an engine now.
+// work returns the work of a request with a prompt for an engine now.
 func (j *job) work() place.Work {
 	w := promptWork(j.Prompt)
 	if j.waitingSince > 0 {
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -13,12 +13,12 @@
 // because of a rate limit.
 const limitPollInterval = 100 * time.Millisecond
 
-// maxBuckets bounds the targets with a rate limit that a host keeps a bucket for. Targets
-// that are gone leave theirs behind.
+// maxBuckets bounds the targets with a rate limit that a host keeps a bucket for. Those of
+// targets that are gone are not removed one by one.
 const maxBuckets = 4096
 
-// noTurn is the wait for a target to which only other hosts send. Callers are not told to stay
-// away for as long.
+// noTurn is the wait for a target to which only other hosts send. It is not given to callers as
+// Retry-After.
 const noTurn = rates.MaxWait
 
 const (
--- a/internal/proxy/limit_test.go
+++ b/internal/proxy/limit_test.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// Guards against callers that are told to stay away for an hour, as only other hosts send to
-// the target, or as this host does not know the others yet.
+// Guards against a Retry-After of an hour, as only other hosts send to
+// the target, or as this host has no data on the others yet.
 func TestRetryAfterWithoutTurn(t *testing.T) {
 	f := fleet.New()
 	f.Replace([]fleet.Target{{ID: "a", Service: "s"}})
@@ -90,7 +90,7 @@
 	}
 }
 
-// Guards against callers that are told to stay away until a cold target takes requests of this
+// Guards against a Retry-After that lasts until a cold target takes requests of this
 // host again, though another target only has no room at the moment.
 func TestRetryAfterOfFullTarget(t *testing.T) {
 	p := hostOfRank(329, 330)
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -30,7 +30,7 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 	// Reach finds out whether a target of a service accepts connections.
 	Reach(ctx context.Context, service, target, address string) Reach
-	// CanRelay reports whether a host in one of the allowed regions may be asked to
+	// CanRelay reports whether a host in one of the allowed regions may be queried to
 	// connect this one to targets.
 	CanRelay(allowed homes.Regions) bool
 }
--- a/internal/proxy/speed.go
+++ b/internal/proxy/speed.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// fields returns what the log says of the speed by which a target was chosen.
+// fields returns the fields of log lines on the speed by which a target was chosen.
 func (m measure) fields(k place.Costs) []zap.Field {
 	fields := []zap.Field{zap.Float64("prefillms", k.PrefillMs)}
 	if m.speed.Age > 0 {
--- a/internal/rates/cold_test.go
+++ b/internal/rates/cold_test.go
@@ -20,7 +20,7 @@
 	coldStep      = 20 * time.Millisecond
 )
 
-// coldHost is a host in the model of a cold target: what it knows of the others, and when it
+// coldHost is a host in the model of a cold target: what it has data on, and when it
 // sends.
 type coldHost struct {
 	Host
@@ -28,7 +28,7 @@
 	unsettled bool
 	unknown   map[string]bool
 	skew      time.Duration
-	// from and until bound the time for which the host sends; learns is when it knows all
+	// from and until bound the time for which the host sends; learns is when it has data on all
 	// others.
 	from, until, learns time.Duration
 	// before and after are its shares before and after that.
@@ -50,7 +50,7 @@
 }
 
 // Guards against hosts that end a cold target with more requests than it takes, while some
-// of them start, end, know less than the others or have another time.
+// of them start, end, have data on fewer hosts or have another time.
 func TestColdTargetGetsNoMoreThanItTakes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{1, 6, 60, 82, 330}).Draw(t, "hosts")
@@ -64,7 +64,7 @@
 }
 
 // drawColdHosts draws hosts in three zones. Up to a tenth of them have started a short time
-// ago, which the others do not know yet, and up to half end meanwhile, which nobody notices.
+// ago, which the others have no data on yet, and up to half end meanwhile unnoticed.
 func drawColdHosts(t *rapid.T, n int) ([]*coldHost, []Host) {
 	hosts, all := make([]*coldHost, n), make([]Host, n)
 	newcomers, ended := map[string]bool{}, 0
@@ -119,7 +119,7 @@
 	return most
 }
 
-// Guards against shares so small that nobody serves with them: with the demand of only the
+// Guards against shares too small to serve with: with the demand of only the
 // hosts near a cold target it gets most of what it takes, at any number of hosts.
 func TestNearHostsUseMostOfTheRate(t *testing.T) {
 	const perSecond = 8
@@ -141,7 +141,7 @@
 	}
 }
 
-// Guards against a host that sends before it knows the others, as all of them may have just
+// Guards against a host that sends before it has data on the others, as all of them may have just
 // started.
 func TestUnknownHostsSendNothing(t *testing.T) {
 	var b Bucket
--- a/internal/rates/rates.go
+++ b/internal/rates/rates.go
@@ -4,7 +4,7 @@
 // hosts together; a target that is cold has such a limit too. Hosts agree on no figures.
 // Each one ranks the live hosts for the target: near ones first, among these by rendezvous
 // hashing. The first few may use most of the limit, so that their shares are large enough
-// to serve with, and all others together the rest. A share depends only on the rank, so
+// to serve with, and all others together the remainder. A share depends only on the rank, so
 // that the shares add up to the limit whatever the demand is. Each share is a token bucket.
 //
 // The shares of many hosts are far below one request a second, so that all their first
@@ -12,8 +12,8 @@
 // of day, and only so many may send at a time that a burst stays small. Clocks that differ
 // move a turn and change no share.
 //
-// A host that does not know the others sends nothing. One that the others may not know
-// takes no place among the first.
+// A host without data on the others sends nothing. One that the others may not have data on
+// is not among the first.
 //
 // # Usage
 //
--- a/internal/server/evacuation.go
+++ b/internal/server/evacuation.go
@@ -14,7 +14,7 @@
 var _ gossip.Evacuations = (*Host)(nil)
 
 // unreadEvacuations are the evacuations of one read of the operator's table. They are applied
-// with the position of the read: the rows of a list alone do not tell which removals it has.
+// with the position of the read: the rows of a list alone do not show which removals it has.
 type unreadEvacuations struct {
 	// listed is set if the rows are all rows of the table.
 	listed  bool
@@ -65,11 +65,11 @@
 // evacuated reports whether nothing may be sent to the targets of a zone.
 func (h *Host) evacuated(zone string) bool { return h.evacuations.Evacuated(zone, wire.BootTime()) }
 
-// EvacuationView returns what this host knows of evacuated zones; nil as long as there were
-// none.
+// EvacuationView returns the view of this host for other hosts; nil as long as no zone was
+// evacuated.
 func (h *Host) EvacuationView() *evac.View { return h.evacuations.View(wire.BootTime()) }
 
-// RecordEvacuationView records what another host knows of evacuated zones.
+// RecordEvacuationView records the view of another host.
 func (h *Host) RecordEvacuationView(host string, v evac.View) {
 	h.updateEvacuations("host "+host, func(now time.Duration) bool { return h.evacuations.Merge(v, now) })
 }
--- a/internal/speed/estimate.go
+++ b/internal/speed/estimate.go
@@ -7,7 +7,7 @@
 
 const (
 	// outlierFactor bounds the deviation of a duration from the expected one, in multiples
-	// of the usual deviation. It bounds what a wait elsewhere does to the estimate.
+	// of the usual deviation. Waits for other work make single durations long.
 	outlierFactor = 3
 	// minSpread is the standard deviation of prompt lengths from which on a slope is known.
 	minSpread = 200
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -8,8 +8,8 @@
 // Failing is neither: attempts without an answer are not measured here.
 //
 // Durations contain waits that this host does not see, so that single long ones count only
-// up to a multiple of the usual deviation. Old measurements lose their weight. Nothing is
-// said of a service or a target that has been measured too seldom.
+// up to a multiple of the usual deviation. Old measurements lose their weight. There is no
+// estimate for a service or a target that has been measured too seldom.
 //
 // # Usage
 //
@@ -39,11 +39,11 @@
 	minPrefills = 40
 	minPlain    = 20
 	minOwn      = 4
-	// Slowdowns are bounded, as they steer requests away from targets: faster ones than
-	// minSlowdown are not worth a longer way, and slower ones than maxSlowdown are not worse.
+	// Slowdowns are bounded, as they steer requests away from targets: below
+	// minSlowdown and above maxSlowdown, differences do not change the choice of a target.
 	minSlowdown = 0.5
 	maxSlowdown = 8
-	// maxTargets bounds the targets that are kept. Those that are gone leave theirs behind.
+	// maxTargets bounds the targets that are kept. Those that are gone are not removed one by one.
 	maxTargets = 4096
 )
 
@@ -146,7 +146,7 @@
 }
 
 // RecordReport records how long work takes at a target by its own report, in multiples of
-// the usual time. Without a positive number it says nothing.
+// the usual time. Numbers that are not positive are ignored.
 func (t *Tracker) RecordReport(service, id string, slowdown float64, now time.Duration) {
 	if !(slowdown > 0) {
 		return
--- a/internal/zones/doc.go
+++ b/internal/zones/doc.go
@@ -4,7 +4,7 @@
 // A host compares the wait in its own zone with the wait in each other zone, the way
 // there and its price, and what reading a prompt again costs. For each class of requests
 // it keeps the share of affinity keys that may go to a zone. Shares change slowly against
-// the age of the view, so that hosts with the same old view do not swing together, and
+// the age of the view, so that hosts with the same old view do not oscillate together, and
 // quotas divide the room of a zone among the hosts.
 //
 // Everything is computed from arguments: the package reads no clock and draws no random
--- a/internal/zones/planner.go
+++ b/internal/zones/planner.go
@@ -12,9 +12,9 @@
 	// that come later.
 	minSettle  = time.Second
 	settleAges = 8
-	// deadShare is the share of the cost of the way by which leaving has to gain or
+	// deadBand is the share of the cost of the way by which leaving has to gain or
 	// lose before a share changes.
-	deadShare = 0.2
+	deadBand = 0.2
 	// rateDelays is the time, in delays of the view, in which the rate of calls to a zone
 	// approaches what fits there.
 	rateDelays = 3
@@ -193,14 +193,14 @@
 	return noTargetMs
 }
 
-// moved returns a share after a step towards what its gain asks for.
+// moved returns a share after a step in the direction of its gain.
 func (p *Planner) moved(k Kind, zone string, share, step float64) float64 {
 	z := p.zones[zone]
 	if zone == p.own || z.Targets == 0 {
 		return 0
 	}
 	gain, way := p.gain(k, z, p.ownWait()), z.WayMs(k)
-	if math.Abs(gain) <= deadShare*way {
+	if math.Abs(gain) <= deadBand*way {
 		return share
 	}
 	scale := max((p.ownWait()+z.wait+k.KeptMs+way)/2, 1)
--- a/internal/zones/price.go
+++ b/internal/zones/price.go
@@ -7,7 +7,7 @@
 	msPerSecond = 1e3
 )
 
-// Prices says what traffic between zones costs, and what a caller's time is worth. All
+// Prices says what traffic between zones costs, and what a caller's wait costs. All
 // are amounts in one unit of money.
 type Prices struct {
 	// Zone and Region are the prices of a gigabyte between zones of a region and between
--- a/internal/zones/sim_test.go
+++ b/internal/zones/sim_test.go
@@ -197,7 +197,7 @@
 	return cost
 }
 
-// send starts a call in a zone. A call beyond the slots waits for its turn.
+// send starts a call in a zone. A call beyond the slots waits for a free slot.
 func (w *world) send(from, to *load) {
 	w.history[len(w.history)-1][from.Name+to.Name]++
 	wait := 0.0
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -9,8 +9,8 @@
 	// noTargetMs is the wait in a zone without a usable target.
 	noTargetMs = 60_000
 	// FullUse is the use from which a zone takes no requests of others; few slots keep
-	// the square root of their number free, as arrivals vary by so much. Its own callers
-	// get the rest.
+	// the square root of their number free, as arrivals vary by so much. The callers of
+	// the zone itself get the remainder.
 	FullUse = 0.9
 )
 
@@ -81,12 +81,12 @@
 	return free
 }
 
-// Kind is what matters of a request for the way to another zone.
+// Kind holds the properties of a request that decide whether sending it to another zone pays.
 type Kind struct {
 	// Bytes are those of the request and of its answer.
 	Bytes int
-	// KeptMs is the cost of reading again the shared parts of its prompt, which an
-	// engine has kept that other requests with the same parts use.
+	// KeptMs is the cost of reading the shared parts of its prompt again elsewhere than at
+	// the engine that has kept them for requests with the same parts.
 	KeptMs float64
 }
 
