--- a/cmd/sesamectl/explain.go
+++ b/cmd/sesamectl/explain.go
@@ -92,7 +92,7 @@
 	return nil, &usageError{"explain takes one file; remove " + f.Arg(1)}
 }
 
-// fetchExplanation asks a host to explain a request.
+// fetchExplanation requests the explanation of a request from a host.
 func fetchExplanation(ctx context.Context, admin string, request []byte) (proxy.Explanation, error) {
 	var e proxy.Explanation
 	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+admin+server.ExplainPath, bytes.NewReader(request))
--- a/internal/server/guards.go
+++ b/internal/server/guards.go
@@ -42,7 +42,7 @@
 	// fileDescriptors is the number of descriptors that the platform keeps for files.
 	fileDescriptors = 200
 	// callerConnDivisor and peerConnDivisor give the shares of callers and of other hosts in
-	// the other descriptors. The rest is for targets and the store.
+	// the other descriptors. The remaining ones are for targets and the store.
 	callerConnDivisor = 2
 	peerConnDivisor   = 8
 	minConns          = 32
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -79,7 +79,7 @@
 type TargetClient interface {
 	roll.Engines
 	kvcat.Reader
-	// ColdFor asks a target by its health check how long it stays cold.
+	// ColdFor queries the health check of a target for how long it stays cold.
 	ColdFor(ctx context.Context, id, address, path string) (time.Duration, error)
 	// Free asks a store with the given epoch to free entries. The store frees nothing
 	// after the time until, in milliseconds on its own clock.
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -56,7 +56,7 @@
 		Expect(m.hostCount()).To(Equal(3))
 	})
 
-	// Guards against settings that are read without their lock, as a placement asks for its
+	// Guards against settings that are read without their lock, as a placement reads its
 	// share while the settings are reloaded. The race detector finds it.
 	It("share limits while the settings are reloaded", func() {
 		addRows(time.Minute, "a", "b")
--- a/internal/server/paths.go
+++ b/internal/server/paths.go
@@ -57,12 +57,12 @@
 	mu sync.Mutex
 	// pausedUntil is the boot time until which a host is not asked for tunnels, by name.
 	pausedUntil map[string]time.Duration
-	// relays holds whether allowed regions have a host that may be asked for tunnels, by the
+	// relays holds whether allowed regions have a host that may be queried for tunnels, by the
 	// key of the regions.
 	relays map[string]relayHosts
 }
 
-// relayHosts says whether allowed regions have a host that may be asked for tunnels, as found
+// relayHosts says whether allowed regions have a host that may be queried for tunnels, as found
 // at a boot time.
 type relayHosts struct {
 	hasHost bool
@@ -195,7 +195,7 @@
 	return p.hasHost.Load()
 }
 
-// candidates returns the hosts in the allowed regions to ask for a tunnel to a target: near
+// candidates returns the hosts in the allowed regions to query for a tunnel to a target: near
 // ones first, as links between regions are narrow, and among these in an order that spreads
 // targets over them.
 func (p *pathFinder) candidates(target string, allowed homes.Regions) []observedRow {
@@ -223,17 +223,17 @@
 	return slices.DeleteFunc(p.unpaused(), func(h observedRow) bool { return !allowed.Allows(settings.regionOf(h.Zone)) })
 }
 
-// CanRelay reports whether a host in the allowed regions may be asked for tunnels.
+// CanRelay reports whether a host in the allowed regions may be queried for tunnels.
 func (p *pathFinder) CanRelay(allowed homes.Regions) bool {
 	if !allowed.Restricted {
 		return p.available()
 	}
 	now, key := wire.BootTime(), allowed.Key()
 	p.mu.Lock()
-	known, ok := p.relays[key]
+	cached, ok := p.relays[key]
 	p.mu.Unlock()
-	if ok && now-known.foundAt < availableTTL {
-		return known.hasHost
+	if ok && now-cached.foundAt < availableTTL {
+		return cached.hasHost
 	}
 	hasHost := len(p.unpausedIn(allowed)) > 0
 	p.mu.Lock()
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// recordColdness asks a target that can be reached again whether it is cold. It is taken for
+// recordColdness queries whether a target that can be reached again is cold. It is taken for
 // cold if it does not say: it may have started again before its entry shows that.
 func (h *Host) recordColdness(ctx context.Context, t fleet.Target) {
 	service, ok := h.proxy.Config().Service(t.Service)
--- a/internal/server/trips.go
+++ b/internal/server/trips.go
@@ -14,7 +14,7 @@
 const tripCheckInterval = 2 * time.Second
 
 // measureTrips connects to a target of each zone to which no request has opened a
-// connection lately, while the host decides by the way to other zones.
+// connection lately, while prices of traffic between zones are set.
 func (h *Host) measureTrips(ctx context.Context) error {
 	dialer := wire.Dialer()
 	for pause.For(ctx, tripCheckInterval) == nil {
