--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -436,19 +436,6 @@
 	return s.otherCalls * math.Exp2(-float64(now-s.loadReportedAt)/float64(otherCallsHalfLife))
 }
 
-func (s *state) currentFailureRate(now time.Duration) float64 {
-	if s.failureRate == 0 {
-		return 0
-	}
-	return s.failureRate * math.Exp2(-float64(now-s.failureRateAt)/float64(failureRateHalfLife))
-}
-
-// updateFailureRate adds an outcome to the failure rate: 1 for a failure, else 0.
-func (s *state) updateFailureRate(failure float64, now time.Duration) {
-	s.failureRate = s.currentFailureRate(now)*(1-failureRateSmoothing) + failure*failureRateSmoothing
-	s.failureRateAt = now
-}
-
 // Len returns the number of targets.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
--- a/internal/kvcat/plan.go
+++ b/internal/kvcat/plan.go
@@ -199,13 +199,8 @@
 			s.pendingSaves[key] = m.now
 		}
 	}
-	if fetches && c.hasOffset {
-		limit := min(max(time.Duration(fetchDeadlineFactor*totalMs*float64(time.Millisecond)), minFetchDeadline), MaxFetchTime)
-		plan.FetchDeadlineMs = m.now.Milliseconds() + c.offset + limit.Milliseconds()
-		plan.FetchMs = totalMs
-	}
-	if fetches && !c.hasOffset {
-		plan.Fetch = make([]string, len(p.Parts)) // without the targets' clock a fetch has no deadline
+	if fetches {
+		c.limitFetches(plan, totalMs, m.now)
 	}
 	if len(shared) > 0 {
 		c.lastSent.Add(affinityTarget{t.ID, namespace, shared[len(shared)-1].ID}, m.now)
@@ -213,6 +208,18 @@
 	return plan
 }
 
+// limitFetches sets the deadline of the fetches of a plan by their expected time. Without the
+// targets' clock a fetch has no deadline, and the plan fetches nothing. The caller holds mu.
+func (c *Catalog) limitFetches(plan *proxy.CachePlan, totalMs float64, now time.Duration) {
+	if !c.hasOffset {
+		plan.Fetch = make([]string, len(plan.Fetch))
+		return
+	}
+	limit := min(max(time.Duration(fetchDeadlineFactor*totalMs*float64(time.Millisecond)), minFetchDeadline), MaxFetchTime)
+	plan.FetchDeadlineMs = now.Milliseconds() + c.offset + limit.Milliseconds()
+	plan.FetchMs = totalMs
+}
+
 // resident reports whether the shared parts of a prompt are probably resident at a
 // target.
 func (c *Catalog) resident(target, namespace string, shared []proxy.Part, now time.Duration) bool {
--- a/internal/room/pace_test.go
+++ b/internal/room/pace_test.go
@@ -66,8 +66,8 @@
 	return most, float64(sum) / (endMs / stepMs) / engines
 }
 
-// Guards against hosts that all fill the same free room before they receive the loads of each other:
-// engines of 16 slots got four times as many calls as soon as some of them ended.
+// Guards against hosts that all fill the same free room before they receive the loads of each
+// other: engines of 16 slots got four times as many calls as soon as some of them ended.
 var _ = Describe("many hosts with more requests than room", func() {
 	It("send no more than their share of the room that they see", func() {
 		most, mean := overload(true)
