--- a/internal/zones/sim_test.go
+++ b/internal/zones/sim_test.go
@@ -227,9 +227,9 @@
 	return float64(sent) / float64(max(all, 1))
 }
 
-// swing returns the mean change, from one second to the next, of the share of the calls of
-// a zone that goes to another one.
-func (w *world) swing(from, to string, since int) float64 {
+// changePerSecond returns the mean change, from one second to the next, of the share of the
+// calls of a zone that goes to another one.
+func (w *world) changePerSecond(from, to string, since int) float64 {
 	sum, n, last := 0.0, 0, math.NaN()
 	for _, second := range w.history[since:] {
 		all := 0
@@ -254,8 +254,8 @@
 	switch what[0] {
 	case "goes":
 		return w.goes(what[1], what[2], since), nil
-	case "swing":
-		return w.swing(what[1], what[2], since), nil
+	case "change":
+		return w.changePerSecond(what[1], what[2], since), nil
 	case "fullest": // most calls beside those of its own callers, for each slot
 		z := w.zone(what[1])
 		return float64(z.most) / float64(max(z.Slots, 1)), nil
