--- a/internal/evac/model_test.go
+++ b/internal/evac/model_test.go
@@ -217,7 +217,7 @@
 }
 
 // Guards against rows from a hub that lags, or from a host that was cut off, that undo
-// what the host has received since. Random sequences seldom reach these.
+// what the host has received since. Random sequences rarely reach these.
 func TestOlderRowsAfterNewerView(t *testing.T) {
 	at := func(version uint64) feed.Position { return feed.Position{Era: 1, Version: version} }
 	l := New()
--- a/internal/homes/doc.go
+++ b/internal/homes/doc.go
@@ -2,7 +2,7 @@
 //
 // A route and a client account may each name allowed regions (data residency). Where both
 // do, both bind: the request may only use the regions that both name. The package holds no
-// state and knows no zones; callers translate zones to regions.
+// state and handles regions only; callers translate zones to regions.
 //
 // # Usage
 //
