Compare no plain work below a millisecond between targets

Cause: the time of an attempt was divided by a millisecond at least, so that targets whose work takes less counted as up to twice as fast as those without measurements (0.50 in place of 1 in the new test). Change: both times count as a millisecond at least. Measured: the new test fails before and passes after; tests of speed and proxy pass.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -39,6 +39,9 @@
 	minPrefills = 40
 	minPlain    = 20
 	minOwn      = 4
+	// minPlainMs is the plain work below which the times of targets are not compared, as
+	// they are mostly those of connections.
+	minPlainMs = 1
 	// Slowdowns are bounded, as they steer requests away from targets: below
 	// minSlowdown and above maxSlowdown, differences do not change the choice of a target.
 	minSlowdown = 0.5
@@ -123,7 +126,7 @@
 	s.prefill.add(float64(p.Tokens), took, now)
 	s.measuredAt, e.measuredAt = now, now
 	if known {
-		e.own.add(bounded(took/max(usual, 1)), targetHalfLife, now)
+		e.own.add(bounded(max(took, minPlainMs)/max(usual, minPlainMs)), targetHalfLife, now)
 	}
 }
 
@@ -140,7 +143,7 @@
 	took := millis(p.Took) / e.report.expected(&s.reports, now)
 	if usual, known := s.plain.value(minPlain); known {
 		took = min(took, maxSlowdown*usual)
-		e.own.add(bounded(took/max(usual, 1)), targetHalfLife, now)
+		e.own.add(bounded(max(took, minPlainMs)/max(usual, minPlainMs)), targetHalfLife, now)
 	}
 	s.plain.add(took, serviceHalfLife, now)
 }
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -158,3 +158,17 @@
 		t.Errorf("plain work takes %.1f ms, want 60", got)
 	}
 }
+
+// Guards against measured targets that look faster than those without measurements where
+// plain work takes less than a millisecond.
+func TestPlainWorkBelowMillisecond(t *testing.T) {
+	tracker := New()
+	now := time.Duration(0)
+	for range 100 {
+		now += 10 * time.Millisecond
+		tracker.RecordPlain(Plain{Service: "app", Target: "a", Took: 200 * time.Microsecond}, now)
+	}
+	if long := tracker.Target("app", "a", now).Long; long != 1 {
+		t.Errorf("a usual target counts as slow by %.2f, want 1", long)
+	}
+}
