Keep an explanation from changing the pace of requests

Cause: an explanation restored the demand of the queue but not the pace, whose credit it could cut (found by reading; no test shows it). Change: both are restored. Measured: tests of proxy pass.

--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -127,7 +127,8 @@
 	demand := q.demand
 	q.demand = demand.Clone()
 	p.recordDemand(j, j.waitingSince)
-	defer func() { q.demand = demand }()
+	pace := q.pace
+	defer func() { q.demand, q.pace = demand, pace }()
 	eligible, limitedFor := p.eligible(j)
 	s := p.selectFrom(j, eligible)
 	j.setLimitedFor(eligible, limitedFor)
