Decode no limit of connections that nothing uses

Cause: the field was read for a part that was not begun. Change: it is gone; unknown fields of a row are ignored as before. No behaviour change.

--- a/internal/opconf/config.go
+++ b/internal/opconf/config.go
@@ -121,8 +121,6 @@
 	// ColdRate requests a second from all hosts together. Zero if targets are never cold.
 	ColdTime time.Duration
 	ColdRate float64
-	// MaxConns is the number of connections that a target accepts; zero if unknown.
-	MaxConns int
 	// HealthPath is the path of a target's health check; empty if it has none.
 	HealthPath string
 }
