Log the start and the software of the chosen target

The log could not tell which start of a target a stream was sent to: the line "target chosen" names the software version and the start of the entry by which the target was chosen.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -163,7 +163,7 @@
 	}
 	fields := append(
 		c.measure.fields(j.costs),
-		zap.String("target", c.ID), zap.Int("of", candidates), zap.Int("attempt", j.deliveries+1),
+		zap.String("target", c.ID), zap.String("software", c.Software), zap.Int64("born", c.StartedAtMs), zap.Int("of", candidates), zap.Int("attempt", j.deliveries+1),
 		zap.Int("calls", k.Calls), zap.Int("tokens", k.Tokens), zap.Int("unread", k.Unread), zap.Float64("fetching", k.FetchingMs), zap.Float64("fetchms", k.FetchMs), zap.Float64("risk", k.Risk),
 		zap.Uint64("site", j.config.Version), zap.Int64("left", (j.deadline-wire.BootTime()).Milliseconds()),
 	)
