Name the target in the query for its start

An address may belong to another target by now, whose start would have been taken for a newer one of the listed target and reset what the host has of it. The query names the target, so that another one rejects it.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -25,13 +25,13 @@
 }
 
 // RecordStart records that a target has started again, before its entry shows that: nothing
-// is known of the new start. It returns false if that start is not newer than the known one.
-func (f *Fleet) RecordStart(id string, startedAtMs int64) bool {
+// is known of the new start. A start that is not newer than the known one has no effect.
+func (f *Fleet) RecordStart(id string, startedAtMs int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.targets[id]
 	if !ok || startedAtMs <= s.StartedAtMs {
-		return false
+		return
 	}
 	t := *s.Target
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
@@ -39,5 +39,4 @@
 	f.reset(t)
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
 	f.indexByService()
-	return true
 }
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -20,15 +21,16 @@
 // Starts finds out to which start of a target a connection leads. A target may start again
 // under its ID with other software, which its entry shows later.
 type Starts interface {
-	// StartOf queries the start of the target at the other end of a connection. A request
-	// may follow on the connection unless the start is Closing or an error is returned.
-	StartOf(ctx context.Context, conn net.Conn, address string) (Start, error)
+	// StartOf queries the start of the target at the other end of a connection to the address
+	// of t. A request may follow on the connection unless the start is Closing or an error is
+	// returned.
+	StartOf(ctx context.Context, conn net.Conn, t *fleet.Target) (Start, error)
 }
 
 // Start is a start of a target.
 type Start struct {
 	// UnixMs is the time of the start in Unix milliseconds; zero if the target does not state
-	// it.
+	// it, or another target has the address.
 	UnixMs int64
 	// Closing is set if the target closes the connection.
 	Closing bool
@@ -56,13 +58,13 @@
 	return c.startedAtMs == 0 || listedMs == 0 || c.startedAtMs == listedMs
 }
 
-// listedStartKey is the key of the listed start of a target in a context.
-type listedStartKey struct{}
+// listedTargetKey is the key of a listed target in a context.
+type listedTargetKey struct{}
 
 // withListedStart returns the context of an attempt whose connection has to lead to the listed
 // start of its target.
 func withListedStart(ctx context.Context, c reservation) context.Context {
-	ctx = context.WithValue(ctx, listedStartKey{}, c.StartedAtMs)
+	ctx = context.WithValue(ctx, listedTargetKey{}, c.Target)
 	return wire.WithConnCheck(ctx, func(conn net.Conn) bool {
 		s, ok := conn.(*startedConn)
 		return !ok || s.leadsTo(c.StartedAtMs)
@@ -76,12 +78,16 @@
 // dialStart connects to a target and checks that it is the listed start. The check is made on
 // the connection that will carry requests, so that no other start can answer them.
 func (p *Proxy) dialStart(ctx context.Context, network, address string) (net.Conn, error) {
+	t, ok := ctx.Value(listedTargetKey{}).(*fleet.Target)
+	if !ok {
+		return p.paths.DialContext(ctx, network, address)
+	}
 	for range maxStartQueries {
 		conn, err := p.paths.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		c, closing, err := p.identify(ctx, conn, address)
+		c, closing, err := p.identify(ctx, conn, t)
 		if err == nil && !closing {
 			return c, nil
 		}
@@ -99,30 +105,32 @@
 
 // identify queries the start of the target at the other end of a connection. It returns a
 // *RestartedError if that is not the listed one.
-func (p *Proxy) identify(ctx context.Context, conn net.Conn, address string) (c *startedConn, closing bool, err error) {
+func (p *Proxy) identify(ctx context.Context, conn net.Conn, t *fleet.Target) (c *startedConn, closing bool, err error) {
 	p.Metrics.Count("start query")
-	queryCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	start, err := p.starts.StartOf(queryCtx, conn, address)
+	start, err := p.starts.StartOf(ctx, conn, t)
 	if err != nil {
 		return nil, false, err
 	}
 	c = &startedConn{Conn: conn, startedAtMs: start.UnixMs}
-	if listedMs, ok := ctx.Value(listedStartKey{}).(int64); ok && !c.leadsTo(listedMs) {
-		return nil, false, &RestartedError{ListedMs: listedMs, FoundMs: start.UnixMs}
+	if !c.leadsTo(t.StartedAtMs) {
+		return nil, false, &RestartedError{ListedMs: t.StartedAtMs, FoundMs: start.UnixMs}
 	}
 	return c, start.Closing, nil
 }
 
 // handleRestart records a start that is newer than the listed one. The request may go to it like
-// to any other target of which only the start is known.
+// to any other target of which only the start is known. An older start is about to end.
 func (p *Proxy) handleRestart(c reservation, e *RestartedError) attemptResult {
-	newer := p.fleet.RecordStart(c.ID, e.FoundMs)
 	p.Metrics.Count("restart found")
-	return retryable{reason: e.Error(), sameTarget: newer}
+	p.fleet.RecordStart(c.ID, e.FoundMs)
+	return retryable{reason: e.Error(), sameTarget: e.FoundMs > e.ListedMs}
 }
 
 // unstatedStarts is a Starts for targets that do not state their start.
 type unstatedStarts struct{}
 
-func (unstatedStarts) StartOf(context.Context, net.Conn, string) (Start, error) { return Start{}, nil }
+func (unstatedStarts) StartOf(context.Context, net.Conn, *fleet.Target) (Start, error) {
+	return Start{}, nil
+}
