Show a target that outlives its removed entry after a restart

A host keeps the entry of a target that expired in an outage of the list for 1.9 s. If a connection finds within that time that the target has started again, the target is kept for ever, although its entry is gone: requests reach it long after the host has acknowledged that it left (DRAIN).

--- /dev/null
+++ b/internal/fleet/restart_test.go
@@ -0,0 +1,50 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/fleet"
+)
+
+// Starts of a target, in Unix milliseconds.
+const (
+	firstStart  = 100
+	secondStart = 200
+	laterStart  = 300
+)
+
+// restartFleet is a fleet with one target whose new starts connections find before its entry
+// shows them.
+type restartFleet struct {
+	*fleet.Fleet
+	now time.Duration
+}
+
+// newRestartFleet returns a fleet that lists the first start of target a.
+func newRestartFleet() *restartFleet {
+	r := &restartFleet{now: time.Minute}
+	r.Fleet = fleet.New(fleet.WithClock(func() time.Duration { return r.now }))
+	r.Replace([]fleet.Target{entryOf(firstStart)})
+	return r
+}
+
+// entryOf returns the entry of a start of target a.
+func entryOf(startedAtMs int64) fleet.Target {
+	return fleet.Target{ID: "a", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 4, StartedAtMs: startedAtMs, Software: "v1"}
+}
+
+// Guards against requests to a target whose entry has gone, for ever, because it was found to
+// have started again within the grace period of its entry.
+func TestExpiredEntryGoesAfterRestart(t *testing.T) {
+	RegisterTestingT(t)
+	f := newRestartFleet()
+	f.ListRecovered()
+	f.Remove("a")
+	Expect(f.RecordStart("a", secondStart)).To(BeTrue())
+	Expect(f.Serving("s")).To(HaveLen(1))
+	f.now += 2 * time.Second
+	Expect(f.Serving("s")).To(BeEmpty())
+}
