Keep the end of an expired entry when its target starts again

Callers were sent to a target for as long as the host ran although its entry had gone: the host had kept the entry for the grace period after an outage, and a connection found the target started again within that time.

Cause: RecordStart makes a new state, whose time to drop the entry is unset, which means that the entry is listed. It is a fact about the entry and not about the start.

The new state keeps that time. TestExpiredEntryGoesAfterRestart failed before and passes now, as do the other tests of internal/fleet.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -37,6 +37,7 @@
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
 	t.Software = fmt.Sprintf("unlisted/%s/%d", id, startedAtMs)
 	f.reset(t)
+	f.targets[id].dropAt = s.dropAt // the entry is no more listed than before
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
 	f.indexByService()
 	return true
