Show a new start that counts as one that has left

A request has chosen a target, the target says that it leaves, and the connection finds that it has started again. When the former entry is removed, the entry of the new start is ignored for good: the host never uses the target again.

--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -48,3 +48,15 @@
 	f.now += 2 * time.Second
 	Expect(f.Serving("s")).To(BeEmpty())
 }
+
+// Guards against a target that is never used again, because it was told to leave and found to
+// have started again before its removed entry came back: the new start counted as one that left.
+func TestNewStartHasNotLeft(t *testing.T) {
+	RegisterTestingT(t)
+	f := newRestartFleet()
+	f.RecordLeaving("a", firstStart)
+	f.RecordStart("a", secondStart)
+	f.Remove("a")
+	f.Put(entryOf(secondStart))
+	Expect(f.Serving("s")).To(HaveLen(1))
+}
