Record no new start of a target that leaves

A host never used a target again whose new start a connection had found after its former one had said that it leaves.

Cause: RecordStart copied the leaving of the former start to the new one, so that the removal of the former entry counted as the end of the new start, whose entry was then taken for one of a target that has left.

A target that leaves gets no requests before its next entry, so nothing is recorded of its new start. TestNewStartHasNotLeft failed before and passes now, as do the other tests of internal/fleet.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -25,12 +25,13 @@
 }
 
 // RecordStart records that a target has started again, before its entry shows that: nothing
-// is known of the new start. It returns false if that start is not newer than the known one.
+// is known of the new start. It returns false if that start is not newer than the known one. One
+// of a target that leaves is not used before its entry shows it.
 func (f *Fleet) RecordStart(id string, startedAtMs int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.targets[id]
-	if !ok || startedAtMs <= s.StartedAtMs {
+	if !ok || s.Leaving || startedAtMs <= s.StartedAtMs {
 		return false
 	}
 	t := *s.Target
