Show an entry that the start of another target hides

Addresses of targets that are gone are used again. A connection to the former address of a target then finds the start of another one, which is recorded as that of the first. If the first one starts again elsewhere, and did so before the other one, its entry is ignored for good as one of an earlier start.

--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -60,3 +60,17 @@
 	f.Put(entryOf(secondStart))
 	Expect(f.Serving("s")).To(HaveLen(1))
 }
+
+// Guards against a target that is never used again, because another one was found at its former
+// address: the start of that one was later than that of its own next entry.
+func TestEntryAfterStartOfAnotherTarget(t *testing.T) {
+	RegisterTestingT(t)
+	f := newRestartFleet()
+	Expect(f.RecordStart("a", laterStart)).To(BeTrue())
+	moved := entryOf(secondStart)
+	moved.Address = "10.0.0.2:80"
+	f.Put(moved)
+	Expect(f.Serving("s")).To(HaveLen(1))
+	Expect(f.Serving("s")[0].StartedAtMs).To(BeEquivalentTo(secondStart))
+	Expect(f.Serving("s")[0].Address).To(Equal(moved.Address))
+}
