Let no start of another target hide an entry

A host never used a target again that had started again at another address, if another target, which started later, had its former address by then.

Cause: the start that a connection finds is kept under the ID of the target whose address was dialed, also if another target answers there. The entry of an earlier start than the found one was ignored.

A start that no entry shows now hides entries with the address at which it was found only, besides those of starts before the listed one. TestEntryAfterStartOfAnotherTarget failed before and passes now, as do the other tests of internal/fleet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	// received at replyVersionsAt.
 	replyVersions   map[string]int
 	replyVersionsAt time.Duration
+	// listedStartMs is the start that the last entry shows if the known one is not listed.
+	listedStartMs int64
 	// dropAt is the time at which an entry that is no longer listed is dropped; zero
 	// if it is listed.
 	dropAt time.Duration
@@ -176,9 +178,9 @@
 		f.reset(t)
 		f.onChange(Change{Target: t, Event: "listed"})
 		return
-	case t.StartedAtMs < old.StartedAtMs:
+	case old.hidesEntry(t):
 		return
-	case t.StartedAtMs > old.StartedAtMs || t.Address != old.Address:
+	case t.StartedAtMs != old.StartedAtMs || t.Address != old.Address:
 		f.reset(t)
 		f.onChange(Change{Target: t, Event: "restarted"})
 		return
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -38,8 +38,22 @@
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
 	t.Software = fmt.Sprintf("unlisted/%s/%d", id, startedAtMs)
 	f.reset(t)
-	f.targets[id].dropAt = s.dropAt // the entry is no more listed than before
+	n := f.targets[id]
+	n.dropAt = s.dropAt // the entry is no more listed than before
+	if n.listedStartMs = s.listedStartMs; !s.Unlisted {
+		n.listedStartMs = s.StartedAtMs
+	}
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
 	f.indexByService()
 	return true
 }
+
+// hidesEntry reports whether an entry is of an earlier start than the known one. A start that
+// no entry shows may be that of another target, which has the former address now: it hides no
+// later entry with another address.
+func (s *state) hidesEntry(t Target) bool {
+	if s.Unlisted && t.Address != s.Address {
+		return t.StartedAtMs < s.listedStartMs
+	}
+	return t.StartedAtMs < s.StartedAtMs
+}
