Let streams of an unlisted start go on once its version is listed

Cause: the stream stayed bound to the label of its start. Nothing connected the label with the version in the entry of that start, and a host that had not found the start itself took its target for the start before.

Change: a label stands for the version in the entry of the start that it names, also for a minute after that start has ended (Fleet.ListedSoftware); the registry of origins and the checks of bound requests resolve it. A label in a record tells a host of the start. All unlisted starts count as one version of the service, so that the stored row (64 versions) and the messages of hosts stay bounded; it is never the only version or the base.

The first stream of a version that was not observed yet is shared once, no longer twice. Tests of origin, fleet, proxy and server pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,6 +117,7 @@
 	// outage of the list.
 	graceUntil time.Duration
 	departed   departures
+	ended      endedStarts
 }
 
 // New returns an empty fleet.
@@ -219,6 +220,7 @@
 // remove removes a target and remembers it.
 func (f *Fleet) remove(s *state) {
 	delete(f.targets, s.ID)
+	f.ended.add(s.Target, f.now())
 	f.departed.add(*s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "removed"})
 }
@@ -233,6 +235,7 @@
 		return
 	}
 	delete(f.targets, id)
+	f.ended.add(s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "discarded"})
 	f.indexByService()
 }
@@ -385,6 +388,9 @@
 // reset starts a new state for a target that is new or has restarted. The load
 // that other hosts reported for its ID counts for it too, until they report again.
 func (f *Fleet) reset(t Target) {
+	if old, ok := f.targets[t.ID]; ok {
+		f.ended.add(old.Target, f.now())
+	}
 	s := &state{Target: &t}
 	for _, r := range f.remoteLoads {
 		s.remote = s.remote.Add(r.byTarget[t.ID])
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
-	"fmt"
 	"slices"
+	"time"
+
+	"sesamehill.example/sesamehill/internal/origin"
 )
 
 // Software returns the software versions of the listed targets by service, sorted.
@@ -35,9 +37,62 @@
 	}
 	t := *s.Target
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
-	t.Software = fmt.Sprintf("unlisted/%s/%d", id, startedAtMs)
+	t.Software = origin.Unlisted{Target: id, StartedAtMs: startedAtMs}.Label()
 	f.reset(t)
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
 	f.indexByService()
 	return true
 }
+
+// RecordLabel records the start that a label stands for, if it is newer than the known one:
+// another host has found it.
+func (f *Fleet) RecordLabel(software string) {
+	if start, ok := origin.ParseLabel(software); ok {
+		f.RecordStart(start.Target, start.StartedAtMs)
+	}
+}
+
+// ListedSoftware returns the software version in the entry of the start that a label stands
+// for, or the label if no entry of it was received. Any other version is returned as it is.
+func (f *Fleet) ListedSoftware(software string) string {
+	start, ok := origin.ParseLabel(software)
+	if !ok {
+		return software
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.targets[start.Target]; ok && s.StartedAtMs == start.StartedAtMs {
+		return s.Software
+	}
+	if version, ok := f.ended.find(start); ok {
+		return version
+	}
+	return software
+}
+
+// endedStarts holds the software versions of starts that were listed and have ended, for one to
+// two periods of origin.Retention: streams that they began may be resumed as long.
+type endedStarts struct {
+	current, previous map[origin.Unlisted]string
+	rotateAt          time.Duration
+}
+
+// add records the start of a target that ends now.
+func (e *endedStarts) add(t *Target, now time.Duration) {
+	if t.Unlisted {
+		return
+	}
+	if now >= e.rotateAt || e.current == nil {
+		e.previous, e.current = e.current, map[origin.Unlisted]string{}
+		e.rotateAt = now + origin.Retention
+	}
+	e.current[origin.Unlisted{Target: t.ID, StartedAtMs: t.StartedAtMs}] = t.Software
+}
+
+func (e *endedStarts) find(start origin.Unlisted) (string, bool) {
+	if version, ok := e.current[start]; ok {
+		return version, true
+	}
+	version, ok := e.previous[start]
+	return version, ok
+}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -17,11 +17,14 @@
 // of it, so that no host takes it for the only one. A version that has vanished counts
 // for Retention, as streams that it began may still be resumed.
 //
+// A start that no entry shows yet has a label in place of a version, which all hosts know to be
+// another one. Once its entry is received, the label stands for the version in it.
+//
 // The package does no I/O and reads no clock. Times are on the boot clock.
 //
 // # Usage
 //
-//	r := origin.New()
+//	r := origin.New(origin.WithResolver(targets.ListedSoftware))
 //	r.Observe(targets.Software(), now)
 //	receipt := r.Begin(requestID, origin.Origin{Service: "llm", Software: "v2"}, now)
 //	o, ok := r.Find(requestID)
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -27,7 +27,9 @@
 // Registry holds the software versions of services and the streams that they began. It is
 // safe for concurrent use.
 type Registry struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// resolve returns the software version that a label of a start stands for.
+	resolve  func(software string) string
 	services map[string]*serviceState
 	// current and previous hold the streams of the current and of the previous period of
 	// Retention.
@@ -41,11 +43,24 @@
 	sequence           uint64
 }
 
+// Option changes a default of New.
+type Option func(*Registry)
+
+// WithResolver sets the function that returns the software version that a label of a start
+// stands for, or the label while no entry shows the start. It must not call the registry.
+func WithResolver(resolve func(software string) string) Option {
+	return func(r *Registry) { r.resolve = resolve }
+}
+
 // New returns an empty registry.
-func New() *Registry {
-	return &Registry{
-		services: map[string]*serviceState{}, current: map[Key]Origin{}, previous: map[Key]Origin{},
+func New(opts ...Option) *Registry {
+	r := &Registry{
+		resolve: func(software string) string { return software }, services: map[string]*serviceState{}, current: map[Key]Origin{}, previous: map[Key]Origin{},
 	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
 }
 
 // Observe records the software versions of the listed targets, by service. The versions
@@ -241,17 +256,18 @@
 func (r *Registry) Begin(request string, o Origin, now time.Duration) Receipt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	o.Software = r.resolve(o.Software)
+	known := r.services[o.Service]
+	if name := versionName(o.Software); known != nil && (name == unlistedVersion || known.versions[name] == nil) {
+		r.observe(o.Service, name, now+SettleTime, now)
+		r.update(now)
+	}
 	s := ownStream{key: NewKey(request), origin: o, at: now}
 	r.remember(s.key, o, now)
 	for len(r.own) > 0 && (now-r.own[0].at >= Retention || len(r.own) >= maxOwn) {
 		r.own = r.own[1:]
 	}
 	r.own = append(r.own, s)
-	known := r.services[o.Service]
-	if known != nil && known.versions[o.Software] == nil {
-		r.observe(o.Service, o.Software, now+SettleTime, now) // a start that no list shows yet
-		r.update(now)
-	}
 	if known == nil || !known.mixed {
 		return Receipt{}
 	}
@@ -279,14 +295,16 @@
 	}
 }
 
-// Find returns the origin of a stream; false if it is unknown.
+// Find returns the origin of a stream; false if it is unknown. Its software version is a label
+// while no entry shows the start that began the stream.
 func (r *Registry) Find(k Key) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o, ok := r.current[k]; ok {
-		return o, true
+	o, ok := r.current[k]
+	if !ok {
+		o, ok = r.previous[k]
 	}
-	o, ok := r.previous[k]
+	o.Software = r.resolve(o.Software)
 	return o, ok
 }
 
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -15,7 +15,7 @@
 	versions map[string]*version
 	// base is the version at which a stream without a record began; empty if unknown.
 	base string
-	// mixed is set while there is more than one version.
+	// mixed is set while there is more than one version, or an unlisted start.
 	mixed bool
 	// singleSince is the time since which there has been one version, mixedSince that since
 	// which there have been more.
@@ -29,7 +29,7 @@
 // that began at other versions, from its versions.
 func (s *serviceState) update(now time.Duration) {
 	wasMixed := s.mixed
-	s.mixed = len(s.versions) > 1
+	s.mixed = len(s.versions) > 1 || s.versions[unlistedVersion] != nil
 	switch {
 	case !s.mixed:
 		if wasMixed {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -244,7 +244,7 @@
 			b = binding{software: c.Software, bound: true}
 		}
 		return !b.bound || slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
-			return s.ID != c.ID && !excluded[s.ID] && b.allows(s.Target) && p.mayServe(j, s)
+			return s.ID != c.ID && !excluded[s.ID] && !p.boundElsewhere(b, s.Target) && p.mayServe(j, s)
 		})
 	}
 }
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -50,8 +50,11 @@
 	bound    bool
 }
 
-// allows reports whether a stream may go on at a target.
-func (b binding) allows(t *fleet.Target) bool { return !b.bound || b.software == t.Software }
+// boundElsewhere reports whether a stream may not go on at a target. A stream that an unlisted
+// start began may go on at all targets of its version once that is listed.
+func (p *Proxy) boundElsewhere(b binding, t *fleet.Target) bool {
+	return b.bound && b.software != t.Software && p.fleet.ListedSoftware(b.software) != t.Software
+}
 
 // continues reports whether the caller already has events of the stream.
 func (j *job) continues() bool {
@@ -72,6 +75,7 @@
 	result := p.origins.Find(ctx, j.service.Name, j.Resumes)
 	found, known := result.(OriginFound)
 	if known {
+		p.fleet.RecordLabel(found.Software)
 		j.bindTo(found.Origin)
 	}
 	p.Metrics.Count("resumed")
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -312,7 +312,7 @@
 	switch {
 	case j.excluded[s.ID]:
 		return passedOver{"it has failed or refused this request"}
-	case !j.binding.allows(s.Target):
+	case p.boundElsewhere(j.binding, s.Target):
 		return passedOver{"its software version did not begin the stream"}
 	case !p.mayServe(j, s):
 		return passedOver{p.restriction(s)}
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -55,7 +55,7 @@
 }
 
 func newStreamOrigins(h *Host) *streamOrigins {
-	r := origin.New()
+	r := origin.New(origin.WithResolver(h.fleet.ListedSoftware))
 	return &streamOrigins{
 		host: h, registry: r, versions: newSoftwareRow(h, r), store: newStreamStore(h, r), began: make(chan struct{}, 1), startedAt: wire.BootTime(),
 	}
