Show a stored stream that is taken for one of the base

The record of a stream that begins at another version than the base is stored before its first event. Its datagrams are lost, or its host is killed within the 15 ms before it sends them. Find then believes the other hosts, which are witnesses without a record, and binds the stream to v1.

--- /dev/null
+++ b/internal/server/origins_test.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sesamehill.example/sesamehill/internal/bound"
+	"sesamehill.example/sesamehill/internal/fleet"
+	"sesamehill.example/sesamehill/internal/origin"
+	"sesamehill.example/sesamehill/internal/proxy"
+	"sesamehill.example/sesamehill/internal/table"
+	"sesamehill.example/sesamehill/internal/wire"
+)
+
+const peerPoolBytes = 1 << 20
+
+// witnessOrigins returns the origins of a host that has known a service with one version for
+// long when a second one appeared, as has the other host. Neither has a record of any stream.
+func witnessOrigins(t Table) *streamOrigins {
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		writeReply(w, originReply{Witness: true})
+	}))
+	DeferCleanup(peer.Close)
+	h := memberHost(1, true)
+	row := h.members.rows["b000"]
+	row.Peer = strings.TrimPrefix(peer.URL, "http://")
+	h.members.rows["b000"] = row
+	h.fleet, h.peerClient = fleet.New(), newPeerClient(bound.NewPool(peerPoolBytes))
+	r, now := origin.New(), wire.BootTime()
+	r.Observe(map[string][]string{"llm": {"v1"}}, now-time.Minute/2)
+	r.Observe(map[string][]string{"llm": {"v1", "v2"}}, now-time.Second)
+	return &streamOrigins{
+		host: h, registry: r, versions: &softwareRow{host: h, registry: r, received: true}, began: make(chan struct{}, 1),
+		store: &streamStore{host: h, table: t, registry: r, changed: make(chan struct{}), reading: make(chan struct{}, 1)},
+	}
+}
+
+var _ = Describe("the origin of a stream without a record at any host", func() {
+	var t *keyedTable
+	BeforeEach(func() { t = &keyedTable{rows: map[string]table.Row{}} })
+	find := func() proxy.OriginResult { return witnessOrigins(t).Find(context.Background(), "llm", "first") }
+
+	// Guards against a stream that is taken for one of the base: its record was stored before
+	// its first event, but the datagrams with it were lost, or its host was killed before it
+	// sent them.
+	It("is the one that was stored", func() {
+		writer := &streamStore{host: memberHost(1, true), table: t}
+		writer.add([]origin.Begun{{Origin: origin.Origin{Service: "llm", Software: "v2"}, Keys: []origin.Key{origin.NewKey("first")}}})
+		Expect(writer.writeRows(context.Background())).To(BeTrue())
+		Expect(find()).To(HaveField("Origin.Software", "v2"))
+	})
+
+	// Guards against a stream that is refused although none of its hosts has a record of it.
+	It("is the base if none was stored, or nothing says whether one was", func() {
+		Expect(find()).To(HaveField("Origin.Software", "v1"))
+		t.down = true
+		Expect(find()).To(HaveField("Origin.Software", "v1"))
+	})
+})
