Read the stored streams before a stream is taken for one of the base

Cause: a host that has known the service with one version counts as a witness that it has all records. But records travel in datagrams that nobody confirms, so that a missing one shows nothing by itself.

It costs one read, shared by all callers who wait, for streams that no host has a record of.

--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -131,7 +131,8 @@
 
 // Find looks for the origin of a stream here, at its owners and among the stored streams. Its
 // record, or a message that shows that there is only one version, may come while these are
-// queried. A stream of which no record was kept began at the base.
+// queried. A stream of which no record was kept began at the base. Owners without a record do
+// not show that alone where records are stored in time: their datagrams may have been lost.
 func (s *streamOrigins) Find(ctx context.Context, service, request string) proxy.OriginResult {
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
@@ -152,11 +153,11 @@
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
-	if !absent && s.store.read(ctx) {
+	if complete := s.store.complete(); (complete || !absent) && s.store.read(ctx) {
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
-		absent = s.store.complete()
+		absent = absent || complete
 	}
 	if base, ok := s.registry.Base(service); ok && absent && s.versions.wasReceived() {
 		return s.found(origin.Origin{Service: service, Software: base}, key, "no record, so the base")
