Find out whether the target of a failed attempt has started again

Cause: a target counts as crashed if it refuses connections after a failed attempt. That is a fact about what has its address now, and not about the start that had the attempt.

A target that accepts connections is now asked for its start. If that is later than the one of the entry, the attempt has crashed it, and the host records the new start. The query takes one more connection and one report for each attempt that failed at a target which accepts connections, and at most 250 ms. It is not made for attempts that this host has left, at targets that do not answer. Without a stated start all is as before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -90,9 +90,9 @@
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		outcome = fleet.ClientDisconnected // it says nothing about the target
 	}
-	crashed := outcome == fleet.Failed && p.unreachable(context.WithoutCancel(ctx), c)
-	if crashed {
-		c.attempt.End(fleet.Unreachable)
+	crashed := false
+	if outcome == fleet.Failed {
+		outcome, crashed = p.checkCrash(ctx, c)
 	}
 	c.attempt.End(outcome)
 	defer p.DispatchSoon()
@@ -249,12 +249,20 @@
 	}
 }
 
-// unreachable reports whether a target accepts no connection. A host with only a few
-// calls at a target receives little data from it, which says nothing about the state of
-// the target.
-func (p *Proxy) unreachable(ctx context.Context, c reservation) bool {
-	reach := p.paths.Reach(ctx, c.Service, c.ID, c.Address)
-	return (reach == Unreachable || reach == Unresponsive) && ctx.Err() == nil
+// checkCrash finds out whether the target of a failed attempt has crashed, and returns the outcome
+// of the attempt: the target accepts no connection, or has started again since. A host with only
+// a few calls at a target receives little data from it, which says nothing about its state.
+func (p *Proxy) checkCrash(ctx context.Context, c reservation) (o fleet.Outcome, crashed bool) {
+	left := leftTarget(ctx)
+	ctx = context.WithoutCancel(ctx)
+	switch p.paths.Reach(ctx, c.Service, c.ID, c.Address) {
+	case Unreachable, Unresponsive:
+		return fleet.Unreachable, true
+	case Reachable:
+		// A target that this host has left may not answer the query either.
+		return fleet.Failed, !left && p.restarted(ctx, c)
+	}
+	return fleet.Failed, false
 }
 
 // reachChecks counts the checks in a row to which a target did not answer.
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -12,6 +13,8 @@
 const (
 	// startTimeout bounds the query for the start of a target on a new connection.
 	startTimeout = noDataLimit
+	// restartTimeout bounds the same after a failed attempt, as the request waits for it.
+	restartTimeout = 250 * time.Millisecond
 	// maxStartQueries is the number of connections on which a target that closes each of them
 	// after its response is queried for its start.
 	maxStartQueries = 2
@@ -122,6 +125,27 @@
 	return retryable{reason: e.Error(), sameTarget: newer}
 }
 
+// restarted finds out whether a target has started again since an attempt was sent to the start
+// of its entry, and records that. An attempt that was sent when the entry was out of date already
+// may have run at the later start.
+func (p *Proxy) restarted(ctx context.Context, c reservation) bool {
+	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
+	defer cancel()
+	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }() // only the start counts
+	p.Metrics.Count("start query")
+	start, err := p.starts.StartOf(ctx, conn, c.Address)
+	if err != nil || c.StartedAtMs == 0 || start.UnixMs <= c.StartedAtMs {
+		return false
+	}
+	p.Metrics.Count("restart found")
+	p.fleet.RecordStart(c.ID, start.UnixMs)
+	return true
+}
+
 // unstatedStarts is a Starts for targets that do not state their start.
 type unstatedStarts struct{}
 
