Continue a stream whose target does not outlive its end

Cause: the end of a connection was read as the end of a stream. The kernel closes the connections of a killed process in order, so that an answer with neither length nor chunks looks whole if it ends between two events.

Change: right after the end of such a stream the host queries the target's report on a new connection. If the listed start answers, the target closed the connection by itself, and the stream is whole. If not, the stream goes on after its last event at another target, like any stream that broke off; one that may not be resumed is cut. A whole stream has nothing left: an answer without events then completes it, also one without length and chunks if its type is that of a stream and its target outlives it. A killed process cannot answer, as its listener is closed before its connections, and one that started again states another start.

Cost: one connection and one report for each stream without length and chunks, none for others. Where a target ends for good right after its last answer, a whole stream costs one more attempt, and one that may not be resumed is cut though it was whole: nothing tells it from a short one.

--- /dev/null
+++ b/internal/proxy/end.go
@@ -0,0 +1,54 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+)
+
+// errEndUnconfirmed says that a response which ended with its connection may lack its rest.
+var errEndUnconfirmed = errors.New("the response ended with its connection, and its target did not answer as the same start afterwards")
+
+// closeDelimited reports whether the body of a response ends with its connection, as it
+// has neither a length nor chunks. A broken connection then looks like the end.
+func closeDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// endConfirmed reports whether the end of a response, as received, is the end that its target
+// meant. The kernel closes the connections of a killed process in order, so that a response
+// which ends with its connection is whole only if its target still runs.
+func (p *Proxy) endConfirmed(ctx context.Context, j *job, c reservation, resp *http.Response) bool {
+	return !closeDelimited(resp) || p.stillRuns(ctx, j, c)
+}
+
+// stillRuns finds out whether the listed start of a target still runs. It does not wait longer
+// for the answer of a target than a new connection would.
+func (p *Proxy) stillRuns(ctx context.Context, j *job, c reservation) bool {
+	p.Metrics.Count("end check")
+	if !j.checksStart() && j.service.Engine == nil {
+		// Only engines state their start.
+		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
+	}
+	ctx = withListedStart(ctx, c)
+	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }() // no request was sent on it
+	_, _, err = p.identify(ctx, conn, c.Address)
+	var restarted *RestartedError
+	if errors.As(err, &restarted) {
+		p.handleRestart(c, restarted)
+	}
+	return err == nil
+}
+
+// mayLackEvents reports whether a response without events may be what is left of a stream.
+// Nothing shows that for one that breaks off or that names no type.
+func (j *job) mayLackEvents(r Reply, resp *http.Response) bool {
+	if closeDelimited(resp) {
+		return j.order.hasLast && contentType(r.Header) == eventStreamType
+	}
+	return !j.order.resumed || contentType(r.Header) != ""
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -67,9 +67,12 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if awaitingFirst && (closeDelimited(resp) || j.order.resumed && contentType(r.Header) == "") {
+			if awaitingFirst && !j.mayLackEvents(r, resp) {
 				return p.retryOrFail(j, "nothing shows that the response without events is a whole stream"), fleet.Failed
 			}
+			if len(buffered) == 0 && !p.endConfirmed(ctx, j, c, resp) {
+				return p.streamFailed(ctx, j, errEndUnconfirmed)
+			}
 			return p.streamEnded(j, r, buffered)
 		case err != nil || len(buffered) > maxEventBytes:
 			return p.streamFailed(ctx, j, err)
@@ -77,12 +80,6 @@
 	}
 }
 
-// closeDelimited reports whether the body of a response ends with its connection, as it
-// has neither a length nor chunks. A broken connection then looks like the end.
-func closeDelimited(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
 // streamEnded handles the end of a target's stream.
 func (p *Proxy) streamEnded(j *job, r Reply, buffered []byte) (attemptResult, fleet.Outcome) {
 	if len(buffered) > 0 {
