Reset the connection of a cut stream that has no chunks

Cause: net/http sends such a caller an answer that ends with its connection, and closes that in order when a handler aborts. Only chunks told other callers that the last one was missing.

Change: from the first event of such a stream until it is complete, a close of its connection resets it (SO_LINGER of 0). Answers with a length are not affected, nor are callers of HTTP/1.1, whose streams always have chunks.

Cost: a reset discards what the caller has not received yet.

--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -275,6 +275,19 @@
 	}
 }
 
+// ResetOnClose sets whether a close of the connection of a request's context resets it,
+// whoever closes it and even if the process is killed. An answer that ends with its connection
+// looks complete unless the connection is reset.
+func ResetOnClose(ctx context.Context, reset bool) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		seconds := -1 // the default of the system
+		if reset {
+			seconds = 0
+		}
+		_ = c.SetLinger(seconds) // fails only if the connection is closed
+	}
+}
+
 // Handler returns a handler that serves the requests on connections which the guard has not
 // closed. A connection may be closed while the head of its next request is read; the caller
 // of that request gets no answer, so it must not run.
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -67,6 +67,9 @@
 	pooledBody *bound.Buffer
 
 	w http.ResponseWriter
+	// endsWithConn is the context of a request to which a stream has to be answered without
+	// chunks, so that its answer ends with the connection; nil for others.
+	endsWithConn context.Context //nolint:containedctx // it only names the connection
 	// excluded holds the targets that failed or refused this request.
 	excluded map[string]bool
 	// attempts counts the attempts that may have run, deliveries all attempts that
@@ -121,6 +124,9 @@
 	call.Arrived = arrived
 	j := &job{Call: &call, w: w, excluded: map[string]bool{}}
 	j.log = p.log.With(zap.String("request", call.ID))
+	if !r.ProtoAtLeast(1, 1) {
+		j.endsWithConn = r.Context()
+	}
 	if !p.admit(j, r) {
 		return
 	}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"sesamehill.example/sesamehill/internal/caller"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -88,6 +89,7 @@
 	if !j.headerSent {
 		p.sendHeader(j, r)
 	}
+	j.resetOnClose(false)
 	return completed{status: r.Status}, fleet.Served
 }
 
@@ -111,6 +113,7 @@
 	}
 	p.recordBegin(ctx, j, c)
 	if !j.headerSent {
+		j.resetOnClose(true)
 		p.sendHeader(j, r)
 	}
 	j.answerBytes += len(events)
@@ -120,6 +123,14 @@
 	return http.NewResponseController(j.w).Flush() == nil
 }
 
+// resetOnClose sets whether a close of the caller's connection resets it, if only that tells
+// the caller that its stream is not complete.
+func (j *job) resetOnClose(reset bool) {
+	if j.endsWithConn != nil {
+		caller.ResetOnClose(j.endsWithConn, reset)
+	}
+}
+
 // sendHeader writes the status and the headers of the first target that responds.
 func (p *Proxy) sendHeader(j *job, r Reply) {
 	j.headerSent = true
