--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -143,7 +143,7 @@
 	}
 	defer func() { _ = conn.Close() }() // only the start counts
 	p.Metrics.Count("start query")
-	start, err := p.starts.StartOf(ctx, conn, c.Address)
+	start, err := p.starts.StartOf(ctx, conn, c.Target)
 	if err != nil || c.StartedAtMs == 0 || start.UnixMs <= c.StartedAtMs {
 		return false
 	}
