Send the records of streams that begin soon after a host's start

Cause: the view of the hosts is kept for 200 ms. One that was computed before the rows of the hosts were read shows none, so that records of streams which began meanwhile were sent to no host and forgotten. The others took these streams for ones of the base.

Change: a host that appears or starts again ends the kept view, and records are kept until the rows have been read.

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -407,6 +407,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.rows[row.Host]
+	if !ok || old.StartedAtMs != row.StartedAtMs {
+		m.cachedView = nil // streams that begin now are sent to this start of the host, too
+	}
 	if !ok || row.newerThan(old, position) {
 		m.rows[row.Host] = observedRow{memberRow: row, position: position, firstSeen: now}
 		return
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -293,15 +293,17 @@
 func (s *streamOrigins) RecordBegun(begun []origin.Begun) { s.registry.Import(begun, wire.BootTime()) }
 
 // Outgoing waits for streams that have begun at this host and returns them by the address
-// of an owner.
+// of an owner. Streams are kept until the owners are known.
 func (s *streamOrigins) Outgoing(ctx context.Context) map[string][]origin.Begun {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-s.began:
 	}
-	if pause.For(ctx, originFlushInterval) != nil {
-		return nil
+	for first := true; first || !s.host.members.read(); first = false {
+		if pause.For(ctx, originFlushInterval) != nil {
+			return nil
+		}
 	}
 	return s.registry.TakeOutgoing(s.host.members.ownersOf)
 }
