Use restarted targets whose entries are late for new streams

Cause: a start without an entry has an unknown software version, and new streams went to such versions only if no listed one served at all.

Change: starts whose entries are late by more than two seconds count as one more version of the service.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	// received at replyVersionsAt.
 	replyVersions   map[string]int
 	replyVersionsAt time.Duration
+	// foundAt is when a start that no entry shows yet was found.
+	foundAt time.Duration
 	// listedStartMs is the start that the last entry shows if the known one is not listed.
 	listedStartMs int64
 	// dropAt is the time at which an entry that is no longer listed is dropped; zero
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -7,19 +7,28 @@
 	"sesamehill.example/sesamehill/internal/origin"
 )
 
+// lateEntryTime is the time after which the entry of a start is late. The platform promises that
+// entries are back within two seconds of its return.
+const lateEntryTime = 2 * time.Second
+
 // Software returns the software versions of the listed targets by service, sorted.
-// Targets that leave count: they may still run streams. Unknown versions do not.
+// Targets that leave count: they may still run streams. Starts whose entries are late count as
+// one more version, so that their targets get new streams once all hosts know of it.
 func (f *Fleet) Software() map[string][]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string][]string{}
 	for service, list := range f.services {
 		for _, s := range list {
+			software := s.Software
 			if s.Unlisted {
-				continue
+				if f.now()-s.foundAt < lateEntryTime {
+					continue
+				}
+				software = origin.UnlistedVersion
 			}
-			if i, ok := slices.BinarySearch(out[service], s.Software); !ok {
-				out[service] = slices.Insert(out[service], i, s.Software)
+			if i, ok := slices.BinarySearch(out[service], software); !ok {
+				out[service] = slices.Insert(out[service], i, software)
 			}
 		}
 	}
@@ -41,6 +50,7 @@
 	t.Software = origin.Unlisted{Target: id, StartedAtMs: startedAtMs}.Label()
 	f.reset(t)
 	n := f.targets[id]
+	n.foundAt = f.now()
 	n.dropAt = s.dropAt // the entry is no more listed than before
 	if n.listedStartMs = s.listedStartMs; !s.Unlisted {
 		n.listedStartMs = s.StartedAtMs
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -227,7 +227,7 @@
 	if !known {
 		return true
 	}
-	v, ok := s.versions[software]
+	v, ok := s.versions[versionName(software)]
 	return ok && now >= v.settledAt
 }
 
@@ -258,7 +258,7 @@
 	defer r.mu.Unlock()
 	o.Software = r.resolve(o.Software)
 	known := r.services[o.Service]
-	if name := versionName(o.Software); known != nil && (name == unlistedVersion || known.versions[name] == nil) {
+	if name := versionName(o.Software); known != nil && (name == UnlistedVersion || known.versions[name] == nil) {
 		r.observe(o.Service, name, now+SettleTime, now)
 		r.update(now)
 	}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -29,7 +29,7 @@
 // that began at other versions, from its versions.
 func (s *serviceState) update(now time.Duration) {
 	wasMixed := s.mixed
-	s.mixed = len(s.versions) > 1 || s.versions[unlistedVersion] != nil
+	s.mixed = len(s.versions) > 1 || s.versions[UnlistedVersion] != nil
 	switch {
 	case !s.mixed:
 		if wasMixed {
--- a/internal/origin/unlisted.go
+++ b/internal/origin/unlisted.go
@@ -8,9 +8,9 @@
 const (
 	// unlistedPrefix begins the label of a start.
 	unlistedPrefix = "unlisted/"
-	// unlistedVersion stands for all unlisted starts among the versions of a service, as their
+	// UnlistedVersion stands for all unlisted starts among the versions of a service, as their
 	// number is not bounded.
-	unlistedVersion = "unlisted"
+	UnlistedVersion = "unlisted"
 )
 
 // Unlisted is a start of a target that no entry shows yet. Its software version is unknown:
@@ -43,7 +43,7 @@
 // service.
 func versionName(software string) string {
 	if _, ok := ParseLabel(software); ok {
-		return unlistedVersion
+		return UnlistedVersion
 	}
 	return software
 }
--- a/internal/origin/unlisted_test.go
+++ b/internal/origin/unlisted_test.go
@@ -30,7 +30,7 @@
 	_, single := r.Only(service)
 	g.Expect(single).To(BeFalse())
 	g.Expect(r.Settled(service, start.Label(), 5*time.Second+SettleTime)).To(BeFalse())
-	g.Expect(r.Versions()[service].Names).To(Equal([]string{unlistedVersion, "v1"}))
+	g.Expect(r.Versions()[service].Names).To(Equal([]string{UnlistedVersion, "v1"}))
 
 	versions[start.Label()] = "v2"
 	o, _ = r.Find(NewKey("first"))
