Accept the end of a plain answer only from a target that outlives it

Cause: an answer with neither length nor chunks ends with its connection, and a killed process closes its connections in order.

Change: the check of streams holds for plain answers. An idempotent request goes to another target; one that may not be repeated is answered 502. A target of a service without engines states no start: there a connection that it accepts counts, and no data is sent on it. A target that starts again within the round trip is then not noticed.

Cost: one connection for each plain answer without length and chunks, which its caller gets one round trip later; none for others. Where a target ends for good right after its last answer, a whole answer of a request that may not be repeated is replaced by 502.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -35,7 +35,7 @@
 		buffered = append(buffered, chunk[:n]...)
 		if more := cap(buffered) - reserved; more > 0 {
 			if poolErr := p.pool.Reserve(reserved, more); poolErr != nil {
-				return p.streamFailed(ctx, j, poolErr)
+				return p.responseFailed(ctx, j, poolErr)
 			}
 			reserved += more
 		}
@@ -72,11 +72,11 @@
 				return p.retryOrFail(j, "nothing shows that the response without events is a whole stream"), fleet.Failed
 			}
 			if len(buffered) == 0 && !p.endConfirmed(ctx, j, c, resp) {
-				return p.streamFailed(ctx, j, errEndUnconfirmed)
+				return p.responseFailed(ctx, j, errEndUnconfirmed)
 			}
 			return p.streamEnded(j, r, buffered)
 		case err != nil || len(buffered) > maxEventBytes:
-			return p.streamFailed(ctx, j, err)
+			return p.responseFailed(ctx, j, err)
 		}
 	}
 }
@@ -93,8 +93,8 @@
 	return completed{status: r.Status}, fleet.Served
 }
 
-// streamFailed handles a stream that broke or was canceled.
-func (p *Proxy) streamFailed(ctx context.Context, j *job, err error) (attemptResult, fleet.Outcome) {
+// responseFailed handles a response that broke or was canceled.
+func (p *Proxy) responseFailed(ctx context.Context, j *job, err error) (attemptResult, fleet.Outcome) {
 	if ctx.Err() != nil && !leftTarget(ctx) {
 		return aborted{cause: context.Cause(ctx)}, fleet.ClientDisconnected
 	}
@@ -158,6 +158,9 @@
 		return p.retryOrFail(j, err.Error()), fleet.Failed
 	}
 	defer body.Release()
+	if !p.endConfirmed(ctx, j, c, resp) {
+		return p.responseFailed(ctx, j, errEndUnconfirmed)
+	}
 	p.Metrics.Observe("answer", wire.BootTime()-j.Arrived)
 	p.recordPlain(j, c, r.Status)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body.Bytes)))
