Count what a target says for its start only

A target got no requests of a host for as long as its former start had asked for, up to an hour, if that refusal arrived after the entry of the new start.

Cause: pauses, rate and refusal limits and refusals in answers were recorded by target ID. Coldness and leaving were recorded by the start already.

All are recorded for the start of the entry by which the target was chosen, and ignored if another start is known. An answer of a start that no entry shows yet counts for the former one until the entry arrives, as before: one more refusal may follow.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -24,7 +24,7 @@
 func (f *Fleet) RecordCold(id string, startedAtMs int64, left time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.targets[id]; ok && s.StartedAtMs == startedAtMs {
+	if s, ok := f.startOf(id, startedAtMs); ok {
 		f.setCold(s, left)
 	}
 }
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -78,7 +78,8 @@
 			}
 		}
 	case "names":
-		c.fleet.RecordRateLimit(id, float64(c.number(words[3])))
+		s, _ := c.fleet.Get(id)
+		c.fleet.RecordRateLimit(id, s.StartedAtMs, float64(c.number(words[3])))
 	case "limit":
 		s, _ := c.fleet.Get(id)
 		got := "none"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -317,6 +317,13 @@
 	s.waiting = l.Waiting
 }
 
+// startOf returns the state of a start of a target; false if it is not the known one. What a
+// target says counts for its start only. The caller holds mu.
+func (f *Fleet) startOf(id string, startedAtMs int64) (*state, bool) {
+	s, ok := f.targets[id]
+	return s, ok && s.StartedAtMs == startedAtMs
+}
+
 // Serving returns the targets of a service that accept requests, sorted by ID.
 func (f *Fleet) Serving(service string) []Status {
 	f.mu.Lock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -333,7 +333,7 @@
 
 	// Guards against hosts that go on at full rate until a target tells each of them.
 	It("takes the newest limit that a target has named to any host", func() {
-		f.RecordRateLimit("a", 2)
+		f.RecordRateLimit("a", 5, 2)
 		Expect(limit("a")).To(Equal(2.0))
 		Expect(limit("b")).To(Equal(float64(fleet.Unlimited)))
 		other := fleet.New(fleet.WithClock(func() time.Duration { return now }))
@@ -341,7 +341,7 @@
 		other.RecordRemoteRateLimits(f.RateLimits())
 		Expect(other.RateLimits()).To(Equal(f.RateLimits()))
 		now += time.Second
-		f.RecordRateLimit("a", fleet.Unlimited)
+		f.RecordRateLimit("a", 5, fleet.Unlimited)
 		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
 		f.RecordRemoteRateLimits(other.RateLimits())
 		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)), "an older report replaced a newer one")
@@ -352,13 +352,13 @@
 
 	// Guards against a limit that outlives the need or the start of its target.
 	It("drops a limit that is not named for a while, or whose target restarts", func() {
-		f.RecordRateLimit("a", 4)
+		f.RecordRateLimit("a", 5, 4)
 		reports := f.RateLimits()
 		f.Put(target("a", 9))
 		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
 		f.RecordRemoteRateLimits(reports)
 		Expect(limit("a")).To(Equal(float64(fleet.Unlimited)))
-		f.RecordRateLimit("a", 4)
+		f.RecordRateLimit("a", 9, 4)
 		now += 9 * time.Second
 		Expect(limit("a")).To(Equal(4.0))
 		now += 2 * time.Second
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -70,22 +70,22 @@
 	return l.perSecond
 }
 
-// RecordRateLimit records how many requests a second a target takes from all hosts
+// RecordRateLimit records how many requests a second a start of a target takes from all hosts
 // together, as it says in an answer; Unlimited if it names no limit.
-func (f *Fleet) RecordRateLimit(id string, perSecond float64) {
-	f.recordLimit(rateLimit, id, perSecond)
+func (f *Fleet) RecordRateLimit(id string, startedAtMs int64, perSecond float64) {
+	f.recordLimit(rateLimit, id, startedAtMs, perSecond)
 }
 
-// RecordRefusalLimit records how many requests a target can refuse in a second without
-// crashing, as it says in an answer; Unlimited if it names no such limit.
-func (f *Fleet) RecordRefusalLimit(id string, perSecond float64) {
-	f.recordLimit(refusalLimit, id, perSecond)
+// RecordRefusalLimit records how many requests a start of a target can refuse in a second
+// without crashing, as it says in an answer; Unlimited if it names no such limit.
+func (f *Fleet) RecordRefusalLimit(id string, startedAtMs int64, perSecond float64) {
+	f.recordLimit(refusalLimit, id, startedAtMs, perSecond)
 }
 
-func (f *Fleet) recordLimit(k limitKind, id string, perSecond float64) {
+func (f *Fleet) recordLimit(k limitKind, id string, startedAtMs int64, perSecond float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.targets[id]; ok {
+	if s, ok := f.startOf(id, startedAtMs); ok {
 		f.setLimit(k, s, observedLimit{perSecond: perSecond, named: perSecond != Unlimited, at: f.now()})
 	}
 }
@@ -103,9 +103,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, l := range limits {
-		s, ok := f.targets[id]
+		s, ok := f.startOf(id, l.StartedAtMs)
 		at := f.now() - time.Duration(min(max(l.AgeMs, 0), rateLimitTTL.Milliseconds()))*time.Millisecond
-		if !ok || s.StartedAtMs != l.StartedAtMs || at <= k.of(s).at {
+		if !ok || at <= k.of(s).at {
 			continue
 		}
 		f.setLimit(k, s, observedLimit{perSecond: l.PerSecond, named: l.PerSecond >= 0, at: at})
@@ -157,12 +157,12 @@
 	return out
 }
 
-// RecordRefusal records that a target with a refusal limit has refused a request: it takes fewer calls
-// than were in flight, and gets none of this host for a pause.
-func (f *Fleet) RecordRefusal(id string, pause time.Duration) {
+// RecordRefusal records that a start of a target with a refusal limit has refused a request: it
+// takes fewer calls than were in flight, and gets none of this host for a pause.
+func (f *Fleet) RecordRefusal(id string, startedAtMs int64, pause time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.targets[id]
+	s, ok := f.startOf(id, startedAtMs)
 	if !ok {
 		return
 	}
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -14,12 +14,12 @@
 	maxReturnSpread = time.Second
 )
 
-// RecordPause records that a target wants no requests of this host for a time. Attempts that
-// are in flight there go on.
-func (f *Fleet) RecordPause(id string, d time.Duration) {
+// RecordPause records that a start of a target wants no requests of this host for a time.
+// Attempts that are in flight there go on.
+func (f *Fleet) RecordPause(id string, startedAtMs int64, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.targets[id]
+	s, ok := f.startOf(id, startedAtMs)
 	if !ok || d <= 0 {
 		return
 	}
@@ -40,8 +40,8 @@
 func (f *Fleet) RecordLeaving(id string, startedAtMs int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.targets[id]
-	if !ok || s.Leaving || s.StartedAtMs != startedAtMs {
+	s, ok := f.startOf(id, startedAtMs)
+	if !ok || s.Leaving {
 		return
 	}
 	t := *s.Target
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -419,23 +419,23 @@
 		p.speeds.RecordReport(c.Service, c.ID, r.Load.Slowdown, wire.BootTime())
 	}
 	if r.Sealed || r.RateLimit != fleet.Unlimited {
-		p.fleet.RecordRateLimit(c.ID, r.RateLimit)
+		p.fleet.RecordRateLimit(c.ID, c.StartedAtMs, r.RateLimit)
 	}
 	if r.Sealed || r.RefusalLimit != fleet.Unlimited {
-		p.fleet.RecordRefusalLimit(c.ID, r.RefusalLimit)
+		p.fleet.RecordRefusalLimit(c.ID, c.StartedAtMs, r.RefusalLimit)
 	}
 	if r.ColdFor > 0 && !r.WrongTarget {
 		p.fleet.RecordCold(c.ID, c.StartedAtMs, r.ColdFor)
 	}
 	if r.Pause > 0 && !r.WrongTarget {
 		p.Metrics.Count("paused")
-		p.fleet.RecordPause(c.ID, r.Pause)
+		p.fleet.RecordPause(c.ID, c.StartedAtMs, r.Pause)
 	}
 	if r.Leaving && !r.WrongTarget {
 		p.fleet.RecordLeaving(c.ID, c.StartedAtMs)
 	}
 	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
-		p.fleet.RecordRefusal(c.ID, refusalPause(r.RefusalLimit, p.hosts()))
+		p.fleet.RecordRefusal(c.ID, c.StartedAtMs, refusalPause(r.RefusalLimit, p.hosts()))
 	}
 	if r.Version > 0 && s.Call.Prompt != nil {
 		p.fleet.RecordVersion(c.ID, s.Call.Prompt.Model, r.Version)
--- a/internal/proxy/limit_test.go
+++ b/internal/proxy/limit_test.go
@@ -73,7 +73,7 @@
 func TestRetryAfterWithoutTurn(t *testing.T) {
 	f := fleet.New()
 	f.Replace([]fleet.Target{{ID: "a", Service: "s"}})
-	f.RecordRefusalLimit("a", 1)
+	f.RecordRefusalLimit("a", 0, 1)
 	unknown := hostOfRank(0, 0)
 	unknown.fleet = fleet.New(fleet.WithColdness(func(string) fleet.Coldness { return fleet.Coldness{Time: time.Minute, PerSecond: 10} }))
 	unknown.fleet.Replace([]fleet.Target{{ID: "cold", Service: "s", WarmupLeft: time.Minute}})
--- a/internal/proxy/zones_test.go
+++ b/internal/proxy/zones_test.go
@@ -69,7 +69,7 @@
 	case "prices":
 		w.proxy.SetPrices(&zones.Prices{Zone: number(1), Region: number(2), Second: number(3)})
 	case "pause":
-		w.fleet.RecordPause(f[1], time.Duration(number(2))*time.Millisecond)
+		w.fleet.RecordPause(f[1], 0, time.Duration(number(2))*time.Millisecond)
 	case "prompt":
 		w.prompt = &Prompt{Model: "m", InputTokens: int(number(1)), Parts: []Part{{"aa", int(number(1)) / 2}, {"bb", int(number(1)) / 2}}}
 	case "load":
