Let a stream find each target started again once

A stream queried workers whose reports each state a later start without a pause until its deadline, and was refused only then.

Cause: a request may try a target again that was found to have started again, as nothing but the entry was out of date, and neither its attempts nor its deliveries count that.

A request does so once for each target, after which the target is excluded for it. Tests of proxy and server and those of starts in platform pass.

--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -67,8 +67,9 @@
 	pooledBody *bound.Buffer
 
 	w http.ResponseWriter
-	// excluded holds the targets that failed or refused this request.
-	excluded map[string]bool
+	// excluded holds the targets that failed or refused this request, restarted those that
+	// were found to have started again.
+	excluded, restarted map[string]bool
 	// attempts counts the attempts that may have run, deliveries all attempts that
 	// reached a target.
 	attempts, deliveries int
@@ -119,7 +120,7 @@
 		return
 	}
 	call.Arrived = arrived
-	j := &job{Call: &call, w: w, excluded: map[string]bool{}}
+	j := &job{Call: &call, w: w, excluded: map[string]bool{}, restarted: map[string]bool{}}
 	j.log = p.log.With(zap.String("request", call.ID))
 	if !p.admit(j, r) {
 		return
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -118,11 +118,14 @@
 }
 
 // handleRestart records a start that is newer than the listed one. The request may go to it like
-// to any other target of which only the start is known.
-func (p *Proxy) handleRestart(c reservation, e *RestartedError) attemptResult {
+// to any other target of which only the start is known, but not to a third start: a target that
+// states ever later ones would be queried without end.
+func (p *Proxy) handleRestart(j *job, c reservation, e *RestartedError) attemptResult {
 	newer := p.fleet.RecordStart(c.ID, e.FoundMs)
 	p.Metrics.Count("restart found")
-	return retryable{reason: e.Error(), sameTarget: newer}
+	sameTarget := newer && !j.restarted[c.ID]
+	j.restarted[c.ID] = true
+	return retryable{reason: e.Error(), sameTarget: sameTarget}
 }
 
 // restarted finds out whether a target has started again since an attempt was sent to the start
