Query a target for a newer start once in a request

Cause: a found start that is newer than the known one does not exclude its target, as the request may go to it, and no bound counted these attempts.

A request may go to one such start of a target. A second one excludes the target for this request, like any failed attempt.

Evidence: TestQueriesOfGrowingStart passes (fewer than 20 reports), as do three tests of streams at restarted workers.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -289,7 +289,7 @@
 func (p *Proxy) handleSendError(ctx context.Context, j *job, c reservation, err error) (attemptResult, fleet.Outcome) {
 	var restarted *RestartedError
 	if errors.As(err, &restarted) && ctx.Err() == nil {
-		return p.handleRestart(c, restarted), fleet.ClientDisconnected
+		return p.handleRestart(j, c, restarted), fleet.ClientDisconnected
 	}
 	var unsent *wire.UnsentError
 	sent := !errors.As(err, &unsent)
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -39,7 +39,7 @@
 	_, _, err = p.identify(ctx, conn, c.Target)
 	var restarted *RestartedError
 	if errors.As(err, &restarted) {
-		p.handleRestart(c, restarted)
+		p.handleRestart(j, c, restarted)
 	}
 	return err == nil
 }
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -72,6 +72,8 @@
 	endsWithConn context.Context //nolint:containedctx // it only names the connection
 	// excluded holds the targets that failed or refused this request.
 	excluded map[string]bool
+	// renewed holds the targets of which this request has found a start that no entry shows.
+	renewed map[string]bool
 	// attempts counts the attempts that may have run, deliveries all attempts that
 	// reached a target.
 	attempts, deliveries int
@@ -122,7 +124,7 @@
 		return
 	}
 	call.Arrived = arrived
-	j := &job{Call: &call, w: w, excluded: map[string]bool{}}
+	j := &job{Call: &call, w: w, excluded: map[string]bool{}, renewed: map[string]bool{}}
 	j.log = p.log.With(zap.String("request", call.ID))
 	if !r.ProtoAtLeast(1, 1) {
 		j.endsWithConn = r.Context()
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -124,11 +124,15 @@
 }
 
 // handleRestart records a start that is newer than the listed one. The request may go to it like
-// to any other target of which only the start is known. An older start is about to end.
-func (p *Proxy) handleRestart(c reservation, e *RestartedError) attemptResult {
+// to any other target of which only the start is known, but not to a second such start of a target:
+// one that states another start each time would be queried without end. An older start is about to
+// end.
+func (p *Proxy) handleRestart(j *job, c reservation, e *RestartedError) attemptResult {
 	p.Metrics.Count("restart found")
 	p.fleet.RecordStart(c.ID, e.FoundMs)
-	return retryable{reason: e.Error(), sameTarget: e.FoundMs > e.ListedMs}
+	again := e.FoundMs > e.ListedMs && !j.renewed[c.ID]
+	j.renewed[c.ID] = true
+	return retryable{reason: e.Error(), sameTarget: again}
 }
 
 // restarted finds out whether a target has started again since an attempt was sent to the start
