Wait for the start of a target that stops for a second

Cause: the query for the start of a target had the limit of a single check of a stalled stream. A stream leaves its target only after two such checks in a row are unanswered, as a sound target may stop for a second or so.

The check after the end of a response keeps 0.8 s, as its caller waits for it.

--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -22,15 +22,15 @@
 	return !closeDelimited(resp) || p.stillRuns(ctx, j, c)
 }
 
-// stillRuns finds out whether the listed start of a target still runs. It does not wait longer
-// for the answer of a target than a new connection would.
+// stillRuns finds out whether the listed start of a target still runs.
 func (p *Proxy) stillRuns(ctx context.Context, j *job, c reservation) bool {
 	p.Metrics.Count("end check")
 	if !j.checksStart() && j.service.Engine == nil {
 		// Only engines state their start.
 		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
 	}
-	ctx = withListedStart(ctx, c)
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
 	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
 		return false
