Read the stored records before a stream is taken for one of the base

Cause: a record is sent to other hosts once, 15 ms after the stream began, and nobody acknowledges it. A host that lacks it took it as shown that none was kept, without a look at the stored records, although the first event waits for these.

If the store cannot be read, the owners decide as before.

--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -152,11 +152,12 @@
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
-	if !absent && s.store.read(ctx) {
+	// Owners lack the record of a stream whose host ended before it sent that.
+	if (!absent || s.store.complete()) && s.store.read(ctx) {
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
-		absent = s.store.complete()
+		absent = absent || s.store.complete()
 	}
 	if base, ok := s.registry.Base(service); ok && absent && s.versions.wasReceived() {
 		return s.found(origin.Origin{Service: service, Software: base}, key, "no record, so the base")
