Let workers whose entries are late get new streams

Callers' new streams were refused for want of capacity while workers that had started again under their IDs stood idle, for as long as the store was away.

Cause: the unknown software version of an unlisted start was never one of the versions that the host observes, so it never settled: new streams began there only when no listed version served at all, however full its workers were.

Change: the version counts as observed once the entry has been late for a second. It settles like any second version, other hosts learn of it, and records of its streams are shared. A restart whose entry follows in time makes no version of its own, as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,8 @@
 	// dropAt is the time at which an entry that is no longer listed is dropped; zero
 	// if it is listed.
 	dropAt time.Duration
+	// unlistedSince is when an unlisted start was found.
+	unlistedSince time.Duration
 	// remote is the sum of the in-flight loads that the other hosts report.
 	remote InFlight
 	// limit is the target's rate limit, refusals the number of refusals in a second that it
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -3,17 +3,23 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
+// unlistedGrace is how long the entry of a new start may be late before the start counts as one
+// of another software version. Entries usually follow within a second.
+const unlistedGrace = time.Second
+
 // Software returns the software versions of the listed targets by service, sorted.
-// Targets that leave count: they may still run streams. Unknown versions do not.
+// Targets that leave count: they may still run streams. The unknown version of an unlisted
+// start counts once its entry is late, as it may stay unknown for as long as the list is away.
 func (f *Fleet) Software() map[string][]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string][]string{}
 	for service, list := range f.services {
 		for _, s := range list {
-			if s.Unlisted {
+			if s.Unlisted && f.now()-s.unlistedSince < unlistedGrace {
 				continue
 			}
 			if i, ok := slices.BinarySearch(out[service], s.Software); !ok {
@@ -37,6 +43,7 @@
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
 	t.Software = fmt.Sprintf("unlisted/%s/%d", id, startedAtMs)
 	f.reset(t)
+	f.targets[id].unlistedSince = f.now()
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
 	f.indexByService()
 	return true
