Resume streams at the version that a later entry shows

Callers that resumed a stream were refused although its software version served: the stream had begun at a worker whose new entry was not there yet.

Cause: the origin of such a stream names the label of the start. The label goes when the entry arrives, so that no worker bears it any more.

Change: a host looks the label up among the starts that are listed, or that ended within the last minute, and takes the software version of their entries. The entry of a start states the version of that start only, so that the answer cannot join two versions.

A host that goes on within one answer still compares labels (binding.allows), so that such a stream goes on once its caller resumes it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,11 +119,12 @@
 	// outage of the list.
 	graceUntil time.Duration
 	departed   departures
+	ended      endedStarts
 }
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, coldness: func(string) Coldness { return Coldness{} }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
+	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, coldness: func(string) Coldness { return Coldness{} }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures(), ended: endedStarts{}}
 	for _, o := range opts {
 		o(f)
 	}
@@ -181,6 +182,7 @@
 	case t.StartedAtMs < old.StartedAtMs:
 		return
 	case t.StartedAtMs > old.StartedAtMs || t.Address != old.Address:
+		f.ended.add(*old.Target, f.now())
 		f.reset(t)
 		f.onChange(Change{Target: t, Event: "restarted"})
 		return
@@ -222,6 +224,7 @@
 func (f *Fleet) remove(s *state) {
 	delete(f.targets, s.ID)
 	f.departed.add(*s.Target, f.now())
+	f.ended.add(*s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "removed"})
 }
 
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -39,9 +38,10 @@
 	if !ok || startedAtMs <= s.StartedAtMs {
 		return false
 	}
+	f.ended.add(*s.Target, f.now())
 	t := *s.Target
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
-	t.Software = fmt.Sprintf("unlisted/%s/%d", id, startedAtMs)
+	t.Software = unlistedSoftware(id, startedAtMs)
 	f.reset(t)
 	f.targets[id].unlistedSince = f.now()
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -129,10 +129,21 @@
 	return s.registry.Settled(service, software, wire.BootTime())
 }
 
-// Find looks for the origin of a stream here, at its owners and among the stored streams. Its
+// Find looks for the origin of a stream. A record may name a start whose software version was
+// unknown then and is listed now.
+func (s *streamOrigins) Find(ctx context.Context, service, request string) proxy.OriginResult {
+	found, ok := s.find(ctx, service, request).(proxy.OriginFound)
+	if !ok {
+		return proxy.OriginUnknown{}
+	}
+	found.Software = s.host.fleet.ListedSoftware(found.Software)
+	return found
+}
+
+// find looks for the origin of a stream here, at its owners and among the stored streams. Its
 // record, or a message that shows that there is only one version, may come while these are
 // queried. A stream of which no record was kept began at the base.
-func (s *streamOrigins) Find(ctx context.Context, service, request string) proxy.OriginResult {
+func (s *streamOrigins) find(ctx context.Context, service, request string) proxy.OriginResult {
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
