Show that many unlisted starts end the messages between hosts

With more than 64 workers that have started again and run streams before their entries arrive, the row with the software versions of services cannot be read by any host, and hosts reject each other's messages, loads and all: both hold one label a start, and both accept 64 versions of a service.

The spec fails: a host that reads the row takes the service for one of a single version; messages hold 129 versions.

--- a/internal/server/originrows_test.go
+++ b/internal/server/originrows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/table"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -156,6 +158,29 @@
 		Expect(r.missing()).To(Equal(map[string]origin.Versions{"llm": {Base: "v2", Names: []string{"v2"}}}))
 	})
 
+	// Guards against a row that no host can read, and messages that all hosts reject, once
+	// more starts than software versions fit in them are unlisted.
+	It("and messages are read however many starts are unlisted", func() {
+		r.listed(nil)
+		r.registry.Observe(map[string][]string{"llm": {"v1"}}, wire.BootTime())
+		for n := range 2 * maxStoredVersions {
+			o := origin.Origin{Service: "llm", Software: fmt.Sprintf("unlisted/i-%d/%d", n, n)}
+			r.registry.Begin(fmt.Sprint("s", n), o, wire.BootTime())
+		}
+		b, err := json.Marshal(r.missing())
+		Expect(err).NotTo(HaveOccurred())
+		reader := &softwareRow{host: memberHost(0, true), registry: origin.New()}
+		reader.apply(feed.Row{Key: softwareKey, Version: 1, Value: b})
+		Expect(reader.registry.Mixed()).To(BeTrue())
+		base, _ := reader.registry.Base("llm")
+		Expect(base).To(Equal("v1"))
+		r.apply(feed.Row{Key: softwareKey, Version: 1, Value: b})
+		Expect(r.missing()).To(BeNil())
+		r.host.fleet = fleet.New()
+		sent := (&streamOrigins{host: r.host, registry: r.registry}).Sightings()
+		Expect(len(sent["llm"])).To(And(BeNumerically(">", 1), BeNumerically("<=", maxStoredVersions)))
+	})
+
 	// Guards against a row of another writer that ends the component or counts as versions.
 	It("ignores what no host writes", func() {
 		for _, value := range []string{"", "[]", `{"llm":7}`, `{"llm":{"versions":["` + strings.Repeat("x", maxStoredNameBytes+1) + `"]}}`} {
