Tell others of unlisted starts under one name

Beyond 64 unlisted starts of a service with streams, hosts rejected each other's messages, and none could read the row with the software versions.

Cause: both held one label for each such start, and receivers accept 64 versions of a service. The bounds guard against what no host sends, so they stay.

Change: in the row and in messages one name stands for all unlisted starts. What others use of it is only that the service has more than one version. Records of streams keep the label of their start.

Evidence: the spec passes; before, its reader of the row took the service for one of a single version, and with only the row changed messages held 129 versions.

--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -22,6 +22,9 @@
 	return fmt.Sprintf("%s%s/%d", unlistedPrefix, id, startedAtMs)
 }
 
+// IsUnlistedSoftware reports whether a software version is the label of an unlisted start.
+func IsUnlistedSoftware(software string) bool { return strings.HasPrefix(software, unlistedPrefix) }
+
 // endedStarts holds the software versions of starts that have ended, by their labels.
 type endedStarts map[string]endedStart
 
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -288,6 +288,16 @@
 	if len(seen) > 0 {
 		s.notify() // streams that began before the second version appeared
 	}
+	for service, versions := range seen {
+		named := make(map[string]int64, len(versions))
+		for software, ageMs := range versions {
+			name := sharedName(software)
+			if earlier, ok := named[name]; !ok || ageMs < earlier {
+				named[name] = ageMs
+			}
+		}
+		seen[service] = named
+	}
 	return seen
 }
 
--- a/internal/server/softwarerow.go
+++ b/internal/server/softwarerow.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"sesamehill.example/sesamehill/internal/feed"
+	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/table"
@@ -33,6 +34,18 @@
 	maxStoredServices, maxStoredVersions, maxStoredNameBytes = 1000, 64, 200
 )
 
+// unlistedStarts stands for the unknown software versions of all unlisted starts of a service
+// in the row and in messages: what matters to others is that there is more than one version.
+const unlistedStarts = "unlisted"
+
+// sharedName returns the name of a software version in the row and in messages.
+func sharedName(software string) string {
+	if fleet.IsUnlistedSoftware(software) {
+		return unlistedStarts
+	}
+	return software
+}
+
 // softwareRow keeps the software versions of services in a row of the platform, so that they
 // outlive all hosts that have seen their targets. The lease holder writes it, or another
 // contender for the lease if the holder does not.
@@ -125,7 +138,7 @@
 	if !r.host.members.isContender() {
 		return nil
 	}
-	known := r.registry.Versions()
+	known := withoutLabels(r.registry.Versions())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.received || len(known) == 0 {
@@ -148,6 +161,22 @@
 	return known
 }
 
+// withoutLabels returns versions in which unlistedStarts stands for the labels of starts.
+func withoutLabels(known map[string]origin.Versions) map[string]origin.Versions {
+	for service, versions := range known {
+		for i, name := range versions.Names {
+			versions.Names[i] = sharedName(name)
+		}
+		slices.Sort(versions.Names)
+		versions.Names = slices.Compact(versions.Names)
+		if fleet.IsUnlistedSoftware(versions.Base) {
+			versions.Base = ""
+		}
+		known[service] = versions
+	}
+	return known
+}
+
 // hasSurplus reports whether the row has a version of a known service that this host has
 // forgotten.
 func (r *softwareRow) hasSurplus(known map[string]origin.Versions) bool {
