--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,10 @@
 	// received at replyVersionsAt.
 	replyVersions   map[string]int
 	replyVersionsAt time.Duration
+	// foundAt is when a start that no entry shows yet was found.
+	foundAt time.Duration
+	// listedStartMs is the start that the last entry shows if the known one is not listed.
+	listedStartMs int64
 	// dropAt is the time at which an entry that is no longer listed is dropped; zero
 	// if it is listed.
 	dropAt time.Duration
@@ -117,6 +121,7 @@
 	// outage of the list.
 	graceUntil time.Duration
 	departed   departures
+	ended      endedStarts
 }
 
 // New returns an empty fleet.
@@ -176,9 +181,9 @@
 		f.reset(t)
 		f.onChange(Change{Target: t, Event: "listed"})
 		return
-	case t.StartedAtMs < old.StartedAtMs:
+	case old.hidesEntry(t):
 		return
-	case t.StartedAtMs > old.StartedAtMs || t.Address != old.Address:
+	case t.StartedAtMs != old.StartedAtMs || t.Address != old.Address:
 		f.reset(t)
 		f.onChange(Change{Target: t, Event: "restarted"})
 		return
@@ -219,6 +224,7 @@
 // remove removes a target and remembers it.
 func (f *Fleet) remove(s *state) {
 	delete(f.targets, s.ID)
+	f.ended.add(s.Target, f.now())
 	f.departed.add(*s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "removed"})
 }
@@ -233,6 +239,7 @@
 		return
 	}
 	delete(f.targets, id)
+	f.ended.add(s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "discarded"})
 	f.indexByService()
 }
@@ -315,6 +322,13 @@
 	s.waiting = l.Waiting
 }
 
+// startOf returns the state of a start of a target; false if it is not the known one. What a
+// target says counts for its start only. The caller holds mu.
+func (f *Fleet) startOf(id string, startedAtMs int64) (*state, bool) {
+	s, ok := f.targets[id]
+	return s, ok && s.StartedAtMs == startedAtMs
+}
+
 // Serving returns the targets of a service that accept requests, sorted by ID.
 func (f *Fleet) Serving(service string) []Status {
 	f.mu.Lock()
@@ -385,6 +399,9 @@
 // reset starts a new state for a target that is new or has restarted. The load
 // that other hosts reported for its ID counts for it too, until they report again.
 func (f *Fleet) reset(t Target) {
+	if old, ok := f.targets[t.ID]; ok {
+		f.ended.add(old.Target, f.now())
+	}
 	s := &state{Target: &t}
 	for _, r := range f.remoteLoads {
 		s.remote = s.remote.Add(r.byTarget[t.ID])
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -90,9 +90,9 @@
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		outcome = fleet.ClientDisconnected // it says nothing about the target
 	}
-	crashed := outcome == fleet.Failed && p.unreachable(context.WithoutCancel(ctx), c)
-	if crashed {
-		c.attempt.End(fleet.Unreachable)
+	crashed := false
+	if outcome == fleet.Failed {
+		outcome, crashed = p.checkCrash(ctx, c, result)
 	}
 	c.attempt.End(outcome)
 	defer p.DispatchSoon()
@@ -244,17 +244,27 @@
 			b = binding{software: c.Software, bound: true}
 		}
 		return !b.bound || slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
-			return s.ID != c.ID && !excluded[s.ID] && b.allows(s.Target) && p.mayServe(j, s)
+			return s.ID != c.ID && !excluded[s.ID] && !p.boundElsewhere(b, s.Target) && p.mayServe(j, s)
 		})
 	}
 }
 
-// unreachable reports whether a target accepts no connection. A host with only a few
-// calls at a target receives little data from it, which says nothing about the state of
-// the target.
-func (p *Proxy) unreachable(ctx context.Context, c reservation) bool {
-	reach := p.paths.Reach(ctx, c.Service, c.ID, c.Address)
-	return (reach == Unreachable || reach == Unresponsive) && ctx.Err() == nil
+// checkCrash finds out whether the target of a failed attempt has crashed, and returns the outcome
+// of the attempt: the target accepts no connection, or has started again since. A host with only
+// a few calls at a target receives little data from it, which says nothing about its state.
+func (p *Proxy) checkCrash(ctx context.Context, c reservation, r attemptResult) (o fleet.Outcome, crashed bool) {
+	left := leftTarget(ctx)
+	ctx = context.WithoutCancel(ctx)
+	switch p.paths.Reach(ctx, c.Service, c.ID, c.Address) {
+	case Unreachable, Unresponsive:
+		return fleet.Unreachable, true
+	case Reachable:
+		// A target that this host has left may not answer the query either. One that has sent a
+		// whole answer did not crash during the attempt: its entry may have been out of date.
+		_, answered := r.(completed)
+		return fleet.Failed, !left && !answered && p.restarted(ctx, c)
+	}
+	return fleet.Failed, false
 }
 
 // reachChecks counts the checks in a row to which a target did not answer.
@@ -279,7 +289,7 @@
 func (p *Proxy) handleSendError(ctx context.Context, j *job, c reservation, err error) (attemptResult, fleet.Outcome) {
 	var restarted *RestartedError
 	if errors.As(err, &restarted) && ctx.Err() == nil {
-		return p.handleRestart(c, restarted), fleet.ClientDisconnected
+		return p.handleRestart(j, c, restarted), fleet.ClientDisconnected
 	}
 	var unsent *wire.UnsentError
 	sent := !errors.As(err, &unsent)
@@ -411,23 +421,23 @@
 		p.speeds.RecordReport(c.Service, c.ID, r.Load.Slowdown, wire.BootTime())
 	}
 	if r.Sealed || r.RateLimit != fleet.Unlimited {
-		p.fleet.RecordRateLimit(c.ID, r.RateLimit)
+		p.fleet.RecordRateLimit(c.ID, c.StartedAtMs, r.RateLimit)
 	}
 	if r.Sealed || r.RefusalLimit != fleet.Unlimited {
-		p.fleet.RecordRefusalLimit(c.ID, r.RefusalLimit)
+		p.fleet.RecordRefusalLimit(c.ID, c.StartedAtMs, r.RefusalLimit)
 	}
 	if r.ColdFor > 0 && !r.WrongTarget {
 		p.fleet.RecordCold(c.ID, c.StartedAtMs, r.ColdFor)
 	}
 	if r.Pause > 0 && !r.WrongTarget {
 		p.Metrics.Count("paused")
-		p.fleet.RecordPause(c.ID, r.Pause)
+		p.fleet.RecordPause(c.ID, c.StartedAtMs, r.Pause)
 	}
 	if r.Leaving && !r.WrongTarget {
 		p.fleet.RecordLeaving(c.ID, c.StartedAtMs)
 	}
 	if r.NotExecuted && !r.WrongTarget && r.RefusalLimit != fleet.Unlimited {
-		p.fleet.RecordRefusal(c.ID, refusalPause(r.RefusalLimit, p.hosts()))
+		p.fleet.RecordRefusal(c.ID, c.StartedAtMs, refusalPause(r.RefusalLimit, p.hosts()))
 	}
 	if r.Version > 0 && s.Call.Prompt != nil {
 		p.fleet.RecordVersion(c.ID, s.Call.Prompt.Model, r.Version)
