Check that no event is missing where a stream goes on after one event

Cause: only the events of the same stream could show that its IDs count events.

Change: a host keeps for each software version of a service what its streams have shown within single answers. A single gap within an answer ends the check for good; gaps between answers are no evidence. Without evidence all is as before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/opconf"
+	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/safego"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -347,6 +348,7 @@
 		if j.headerSent {
 			j.order.resume()
 		}
+		j.order.numbering = p.numberings.of(origin.Origin{Service: j.service.Name, Software: c.Software})
 		return p.relay(ctx, j, c, r, resp)
 	}
 	return p.relayBuffered(ctx, j, c, r, resp)
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -16,9 +16,11 @@
 	// steps counts the events that followed another one, gaps those whose ID was not the
 	// next one.
 	steps, gaps int
-	// resumed is set in an attempt that resumes the stream of another one, joined once it
-	// has sent a new event.
+	// resumed is set in an attempt that resumes the stream of another one, joined once an
+	// attempt has sent a new event.
 	resumed, joined bool
+	// numbering is what other streams of the target's software version have shown.
+	numbering *numbering
 }
 
 // eventVerdict is one of forwardEvent, dropEvent and rejectEvent.
@@ -49,7 +51,8 @@
 func (o *eventOrder) resume() { o.resumed, o.joined = true, false }
 
 // accept decides about an event. IDs may increase by more than one. But if they never
-// did so within an attempt, an attempt that resumes the stream must not skip any.
+// did so within an attempt, an attempt that resumes the stream must not skip any. If the IDs
+// of the software version count events, no attempt may that goes on after an event.
 func (o *eventOrder) accept(event []byte) eventVerdict {
 	id, err := strconv.ParseInt(eventID(event), 10, 64)
 	switch {
@@ -61,21 +64,27 @@
 		return dropEvent{}
 	}
 	consecutive := o.hasLast && id == o.last+1
-	if o.resumed && !o.joined {
-		if o.steps > 0 && o.gaps == 0 && !consecutive {
-			return rejectEvent{reason: "the resumed stream lacks events"}
-		}
-		o.joined = true
-	} else if o.hasLast {
+	if o.hasLast && !o.joined && !consecutive && o.neverSkips() {
+		return rejectEvent{reason: "the resumed stream lacks events"}
+	}
+	if o.hasLast && (o.joined || !o.resumed) {
 		o.steps++
 		if !consecutive {
 			o.gaps++
 		}
 	}
-	o.last, o.hasLast = id, true
+	if o.hasLast && o.joined {
+		o.numbering.record(consecutive)
+	}
+	o.last, o.hasLast, o.joined = id, true, true
 	return forwardEvent{}
 }
 
+// neverSkips reports whether the first new event of an attempt has to be the next one.
+func (o *eventOrder) neverSkips() bool {
+	return o.gaps == 0 && o.last >= 0 && (o.resumed && o.steps > 0 || o.numbering.countsEvents())
+}
+
 // filter returns the events of a sequence of whole events that the caller is to receive,
 // and the reason why the event after them cannot belong to the stream, if there is one.
 // It overwrites the sequence.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -103,6 +103,7 @@
 	share       func(t *fleet.Target) rates.Share
 	costs       place.Costs
 	speeds      *speed.Tracker
+	numberings  numberings
 	placement   atomic.Pointer[place.Rule]
 	staleLimits atomic.Pointer[StaleLimits]
 
