Show callers that wait one after the other for a silent store

Ten callers take up streams without a record while the store does not answer. Each reads the stored streams for 0.7 s after the one before it has given up: 7.2 s in all.

--- a/internal/server/origins_test.go
+++ b/internal/server/origins_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -41,6 +43,14 @@
 	}
 }
 
+// silentTable is a table that does not answer.
+type silentTable struct{ Table }
+
+func (silentTable) Scan(ctx context.Context, _, _ string, _ int) ([]table.Row, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 var _ = Describe("the origin of a stream without a record at any host", func() {
 	var t *keyedTable
 	BeforeEach(func() { t = &keyedTable{rows: map[string]table.Row{}} })
@@ -62,4 +72,23 @@
 		t.down = true
 		Expect(find()).To(HaveField("Origin.Software", "v1"))
 	})
+
+	// Guards against callers that wait one after the other while the store does not answer,
+	// until they have left.
+	It("is found by many callers at once while the store does not answer", func() {
+		origins := witnessOrigins(silentTable{})
+		started := time.Now()
+		var callers sync.WaitGroup
+		for n := range 10 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				Expect(origins.Find(context.Background(), "llm", fmt.Sprint("first-", n))).To(HaveField("Origin.Software", "v1"))
+			})
+		}
+		callers.Wait()
+		Expect(time.Since(started)).To(BeNumerically("<", 3*streamCallTimeout))
+		started = time.Now()
+		Expect(origins.Find(context.Background(), "llm", "later")).To(HaveField("Origin.Software", "v1"))
+		Expect(time.Since(started)).To(BeNumerically("<", streamCallTimeout))
+	})
 })
