--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -1,23 +1,34 @@
 package fleet
 
 import (
-	"fmt"
 	"slices"
+	"time"
+
+	"sesamehill.example/sesamehill/internal/origin"
 )
 
+// lateEntryTime is the time after which the entry of a start is late. The platform promises that
+// entries are back within two seconds of its return.
+const lateEntryTime = 2 * time.Second
+
 // Software returns the software versions of the listed targets by service, sorted.
-// Targets that leave count: they may still run streams. Unknown versions do not.
+// Targets that leave count: they may still run streams. Starts whose entries are late count as
+// one more version, so that their targets get new streams once all hosts know of it.
 func (f *Fleet) Software() map[string][]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string][]string{}
 	for service, list := range f.services {
 		for _, s := range list {
+			software := s.Software
 			if s.Unlisted {
-				continue
+				if f.now()-s.foundAt < lateEntryTime {
+					continue
+				}
+				software = origin.UnlistedVersion
 			}
-			if i, ok := slices.BinarySearch(out[service], s.Software); !ok {
-				out[service] = slices.Insert(out[service], i, s.Software)
+			if i, ok := slices.BinarySearch(out[service], software); !ok {
+				out[service] = slices.Insert(out[service], i, software)
 			}
 		}
 	}
@@ -25,27 +36,27 @@
 }
 
 // RecordStart records that a target has started again, before its entry shows that: nothing
-// is known of the new start. It returns false if that start is not newer than the known one. One
-// of a target that leaves is not used before its entry shows it.
-func (f *Fleet) RecordStart(id string, startedAtMs int64) bool {
+// is known of the new start. One that is not newer than the known one has no effect, nor has one of
+// a target that leaves, which is not used before its entry shows it.
+func (f *Fleet) RecordStart(id string, startedAtMs int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.targets[id]
 	if !ok || s.Leaving || startedAtMs <= s.StartedAtMs {
-		return false
+		return
 	}
 	t := *s.Target
 	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
-	t.Software = fmt.Sprintf("unlisted/%s/%d", id, startedAtMs)
+	t.Software = origin.Unlisted{Target: id, StartedAtMs: startedAtMs}.Label()
 	f.reset(t)
 	n := f.targets[id]
+	n.foundAt = f.now()
 	n.dropAt = s.dropAt // the entry is no more listed than before
 	if n.listedStartMs = s.listedStartMs; !s.Unlisted {
 		n.listedStartMs = s.StartedAtMs
 	}
 	f.onChange(Change{Target: t, Event: "restarted, not listed yet"})
 	f.indexByService()
-	return true
 }
 
 // hidesEntry reports whether an entry is of an earlier start than the known one. A start that
@@ -57,3 +68,56 @@
 	}
 	return t.StartedAtMs < s.StartedAtMs
 }
+
+// RecordLabel records the start that a label stands for, if it is newer than the known one:
+// another host has found it.
+func (f *Fleet) RecordLabel(software string) {
+	if start, ok := origin.ParseLabel(software); ok {
+		f.RecordStart(start.Target, start.StartedAtMs)
+	}
+}
+
+// ListedSoftware returns the software version in the entry of the start that a label stands
+// for, or the label if no entry of it was received. Any other version is returned as it is.
+func (f *Fleet) ListedSoftware(software string) string {
+	start, ok := origin.ParseLabel(software)
+	if !ok {
+		return software
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.targets[start.Target]; ok && s.StartedAtMs == start.StartedAtMs {
+		return s.Software
+	}
+	if version, ok := f.ended.find(start); ok {
+		return version
+	}
+	return software
+}
+
+// endedStarts holds the software versions of starts that were listed and have ended, for one to
+// two periods of origin.Retention: streams that they began may be resumed as long.
+type endedStarts struct {
+	current, previous map[origin.Unlisted]string
+	rotateAt          time.Duration
+}
+
+// add records the start of a target that ends now.
+func (e *endedStarts) add(t *Target, now time.Duration) {
+	if t.Unlisted {
+		return
+	}
+	if now >= e.rotateAt || e.current == nil {
+		e.previous, e.current = e.current, map[origin.Unlisted]string{}
+		e.rotateAt = now + origin.Retention
+	}
+	e.current[origin.Unlisted{Target: t.ID, StartedAtMs: t.StartedAtMs}] = t.Software
+}
+
+func (e *endedStarts) find(start origin.Unlisted) (string, bool) {
+	if version, ok := e.current[start]; ok {
+		return version, true
+	}
+	version, ok := e.previous[start]
+	return version, ok
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"sesamehill.example/sesamehill/internal/caller"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -67,9 +68,12 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if awaitingFirst && (closeDelimited(resp) || j.order.resumed && contentType(r.Header) == "") {
+			if awaitingFirst && !j.mayLackEvents(r, resp) {
 				return p.retryOrFail(j, "nothing shows that the response without events is a whole stream"), fleet.Failed
 			}
+			if len(buffered) == 0 && !p.endConfirmed(ctx, j, c, resp) {
+				return p.streamFailed(ctx, j, errEndUnconfirmed)
+			}
 			return p.streamEnded(j, r, buffered)
 		case err != nil || len(buffered) > maxEventBytes:
 			return p.streamFailed(ctx, j, err)
@@ -77,12 +81,6 @@
 	}
 }
 
-// closeDelimited reports whether the body of a response ends with its connection, as it
-// has neither a length nor chunks. A broken connection then looks like the end.
-func closeDelimited(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
 // streamEnded handles the end of a target's stream.
 func (p *Proxy) streamEnded(j *job, r Reply, buffered []byte) (attemptResult, fleet.Outcome) {
 	if len(buffered) > 0 {
@@ -91,6 +89,7 @@
 	if !j.headerSent {
 		p.sendHeader(j, r)
 	}
+	j.resetOnClose(false)
 	return completed{status: r.Status}, fleet.Served
 }
 
@@ -114,6 +113,7 @@
 	}
 	p.recordBegin(ctx, j, c)
 	if !j.headerSent {
+		j.resetOnClose(true)
 		p.sendHeader(j, r)
 	}
 	j.answerBytes += len(events)
@@ -123,6 +123,14 @@
 	return http.NewResponseController(j.w).Flush() == nil
 }
 
+// resetOnClose sets whether a close of the caller's connection resets it, if only that tells
+// the caller that its stream is not complete.
+func (j *job) resetOnClose(reset bool) {
+	if j.endsWithConn != nil {
+		caller.ResetOnClose(j.endsWithConn, reset)
+	}
+}
+
 // sendHeader writes the status and the headers of the first target that responds.
 func (p *Proxy) sendHeader(j *job, r Reply) {
 	j.headerSent = true
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -55,7 +55,7 @@
 }
 
 func newStreamOrigins(h *Host) *streamOrigins {
-	r := origin.New()
+	r := origin.New(origin.WithResolver(h.fleet.ListedSoftware))
 	return &streamOrigins{
 		host: h, registry: r, versions: newSoftwareRow(h, r), store: newStreamStore(h, r), began: make(chan struct{}, 1), startedAt: wire.BootTime(),
 	}
@@ -131,7 +131,8 @@
 
 // Find looks for the origin of a stream here, at its owners and among the stored streams. Its
 // record, or a message that shows that there is only one version, may come while these are
-// queried. A stream of which no record was kept began at the base.
+// queried. A stream of which no record was kept began at the base. Owners without a record do
+// not show that alone where records are stored in time: their datagrams may have been lost.
 func (s *streamOrigins) Find(ctx context.Context, service, request string) proxy.OriginResult {
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
@@ -152,11 +153,11 @@
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
-	if !absent && s.store.read(ctx) {
+	if complete := s.store.complete(); (complete || !absent) && s.store.read(ctx) {
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
-		absent = s.store.complete()
+		absent = absent || complete
 	}
 	if base, ok := s.registry.Base(service); ok && absent && s.versions.wasReceived() {
 		return s.found(origin.Origin{Service: service, Software: base}, key, "no record, so the base")
@@ -293,15 +294,17 @@
 func (s *streamOrigins) RecordBegun(begun []origin.Begun) { s.registry.Import(begun, wire.BootTime()) }
 
 // Outgoing waits for streams that have begun at this host and returns them by the address
-// of an owner.
+// of an owner. Streams are kept until the owners are known.
 func (s *streamOrigins) Outgoing(ctx context.Context) map[string][]origin.Begun {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-s.began:
 	}
-	if pause.For(ctx, originFlushInterval) != nil {
-		return nil
+	for first := true; first || !s.host.members.read(); first = false {
+		if pause.For(ctx, originFlushInterval) != nil {
+			return nil
+		}
 	}
 	return s.registry.TakeOutgoing(s.host.members.ownersOf)
 }
