--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -70,9 +70,10 @@
 	// endsWithConn is the context of a request to which a stream has to be answered without
 	// chunks, so that its answer ends with the connection; nil for others.
 	endsWithConn context.Context //nolint:containedctx // it only names the connection
-	// excluded holds the targets that failed or refused this request, restarted those that
-	// were found to have started again.
-	excluded, restarted map[string]bool
+	// excluded holds the targets that failed or refused this request.
+	excluded map[string]bool
+	// renewed holds the targets of which this request has found a start that no entry shows.
+	renewed map[string]bool
 	// attempts counts the attempts that may have run, deliveries all attempts that
 	// reached a target.
 	attempts, deliveries int
@@ -123,7 +124,7 @@
 		return
 	}
 	call.Arrived = arrived
-	j := &job{Call: &call, w: w, excluded: map[string]bool{}, restarted: map[string]bool{}}
+	j := &job{Call: &call, w: w, excluded: map[string]bool{}, renewed: map[string]bool{}}
 	j.log = p.log.With(zap.String("request", call.ID))
 	if !r.ProtoAtLeast(1, 1) {
 		j.endsWithConn = r.Context()
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -13,8 +12,11 @@
 )
 
 const (
-	// startTimeout bounds the query for the start of a target on a new connection.
-	startTimeout = noDataLimit
+	// startTimeout bounds the query for the start of a target on a new connection. A sound
+	// target may stop for a second or so and go on.
+	startTimeout = maxUnansweredChecks * noDataLimit
+	// endTimeout bounds the same after the end of a response, which the caller waits for.
+	endTimeout = noDataLimit
 	// restartTimeout bounds the same after a failed attempt, as the request waits for it.
 	restartTimeout = 250 * time.Millisecond
 	// maxStartQueries is the number of connections on which a target that closes each of them
@@ -125,46 +127,36 @@
 }
 
 // handleRestart records a start that is newer than the listed one. The request may go to it like
-// to any other target of which only the start is known, but not to a third start: a target that
-// states ever later ones would be queried without end. An older start is about to end.
+// to any other target of which only the start is known, but not to a second such start of a target:
+// one that states another start each time would be queried without end. An older start is about to
+// end.
 func (p *Proxy) handleRestart(j *job, c reservation, e *RestartedError) attemptResult {
 	p.Metrics.Count("restart found")
 	p.fleet.RecordStart(c.ID, e.FoundMs)
-	sameTarget := e.FoundMs > e.ListedMs && !j.restarted[c.ID]
-	j.restarted[c.ID] = true
-	return retryable{reason: e.Error(), sameTarget: sameTarget}
+	again := e.FoundMs > e.ListedMs && !j.renewed[c.ID]
+	j.renewed[c.ID] = true
+	return retryable{reason: e.Error(), sameTarget: again}
 }
 
-// statesStart reports whether the target of a request states its start: only engines do.
-func (j *job) statesStart() bool { return j.checksStart() || j.service.Engine != nil }
-
-// checkStart finds out on a connection of its own whether a target still is the listed start, and
-// records a newer one. It returns a *RestartedError if it is another start.
-func (p *Proxy) checkStart(ctx context.Context, j *job, c reservation) error {
+// restarted finds out whether a target has started again since an attempt was sent to the start
+// of its entry, and records that. An attempt that was sent when the entry was out of date already
+// may have run at the later start.
+func (p *Proxy) restarted(ctx context.Context, c reservation) bool {
+	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
+	defer cancel()
 	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
-		return err
-	}
-	defer func() { _ = conn.Close() }() // no request was sent on it
-	_, _, err = p.identify(ctx, conn, c.Target)
-	var restarted *RestartedError
-	if errors.As(err, &restarted) {
-		p.handleRestart(j, c, restarted)
+		return false
 	}
-	return err
-}
-
-// restarted finds out whether a target has started again since an attempt was sent to the start
-// of its entry. An attempt that was sent when the entry was out of date already may have run at
-// the later start.
-func (p *Proxy) restarted(ctx context.Context, j *job, c reservation) bool {
-	if !j.statesStart() {
+	defer func() { _ = conn.Close() }() // only the start counts
+	p.Metrics.Count("start query")
+	start, err := p.starts.StartOf(ctx, conn, c.Target)
+	if err != nil || c.StartedAtMs == 0 || start.UnixMs <= c.StartedAtMs {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
-	defer cancel()
-	var restarted *RestartedError
-	return errors.As(p.checkStart(ctx, j, c), &restarted) && restarted.FoundMs > restarted.ListedMs
+	p.Metrics.Count("restart found")
+	p.fleet.RecordStart(c.ID, start.UnixMs)
+	return true
 }
 
 // unstatedStarts is a Starts for targets that do not state their start.
