Show streams that wait for one failed read after the other

While the platform does not answer, ten streams that are taken up at once, and of which no host has a record, take 7.2 s to find their origin: each reads the stored streams after the other, and each read takes 0.7 s.

--- a/internal/server/origins_test.go
+++ b/internal/server/origins_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -63,3 +65,27 @@
 		Expect(find()).To(HaveField("Origin.Software", "v1"))
 	})
 })
+
+// Guards against streams that are refused because each one waits for its own read of the stored
+// streams, one after the other, while the platform does not answer.
+var _ = It("finds the origins of many streams at once while the platform does not answer", func() {
+	s := witnessOrigins(&hangingTable{})
+	var finds sync.WaitGroup
+	started := time.Now()
+	for n := range 10 {
+		finds.Go(func() {
+			defer GinkgoRecover()
+			Expect(s.Find(context.Background(), "llm", fmt.Sprint("stream-", n))).To(HaveField("Origin.Software", "v1"))
+		})
+	}
+	finds.Wait()
+	Expect(time.Since(started)).To(BeNumerically("<", 3*streamCallTimeout))
+})
+
+// hangingTable is a table of a platform that does not answer.
+type hangingTable struct{ Table }
+
+func (*hangingTable) Scan(ctx context.Context, _, _ string, _ int) ([]table.Row, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
