Share a failed read of the stored streams with all who wait for it

Cause: waiting callers shared a read that succeeded, but not one that failed.

A read that fails while others wait has failed for these, unless its own caller has left. They go on as if their own read had failed.

--- a/internal/server/streamread.go
+++ b/internal/server/streamread.go
@@ -17,7 +17,7 @@
 const staleRowsInterval = 30 * time.Second
 
 // read reads the streams that all hosts had stored before the call. It reports whether it
-// could.
+// could. A read that fails while other callers wait has failed for these, too.
 func (s *streamStore) read(ctx context.Context) bool {
 	calledAt := wire.BootTime()
 	select {
@@ -26,14 +26,20 @@
 		return false
 	}
 	defer func() { <-s.reading }()
-	if s.readAt > calledAt {
+	switch {
+	case s.readAt > calledAt:
 		return true
+	case s.readFailedAt > calledAt:
+		return false
 	}
 	startedAt := wire.BootTime()
-	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	scanCtx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	rows, err := s.scan(ctx)
+	rows, err := s.scan(scanCtx)
 	if err != nil {
+		if ctx.Err() == nil { // else the caller has left, which says nothing about the platform
+			s.readFailedAt = wire.BootTime()
+		}
 		s.host.log.Warn("stored streams cannot be read", zap.Error(err))
 		return false
 	}
--- a/internal/server/streamrows.go
+++ b/internal/server/streamrows.go
@@ -72,9 +72,10 @@
 	failedAt time.Duration
 
 	// reading is held by the caller that reads the rows, and guards readAt, the boot time at
-	// which the last successful read started.
-	reading chan struct{}
-	readAt  time.Duration
+	// which the last successful read started, and readFailedAt, that at which the last failed
+	// one ended.
+	reading              chan struct{}
+	readAt, readFailedAt time.Duration
 }
 
 func newStreamStore(h *Host, r *origin.Registry) *streamStore {
