Use workers again whose clock was set back

Cause: the entry of an earlier start is ignored, as it may come late, and since a connection that leads to an earlier start carries no stream. Both were right about the start that each knows, and nothing compared them.

The last ignored entry is kept. If a connection to the target then finds the start of that entry, the target itself says that it is the present one, and the entry counts. A label of an earlier start in a record of a stream has no such effect, as no target stated it now.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,6 +69,8 @@
 	foundAt time.Duration
 	// listedStartMs is the start that the last entry shows if the known one is not listed.
 	listedStartMs int64
+	// hidden is the last entry that was ignored as one of an earlier start; nil if there is none.
+	hidden *Target
 	// dropAt is the time at which an entry that is no longer listed is dropped; zero
 	// if it is listed.
 	dropAt time.Duration
@@ -182,6 +184,7 @@
 		f.onChange(Change{Target: t, Event: "listed"})
 		return
 	case old.hidesEntry(t):
+		old.hidden = &t
 		return
 	case t.StartedAtMs != old.StartedAtMs || t.Address != old.Address:
 		f.reset(t)
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -74,3 +74,18 @@
 	Expect(f.Serving("s")[0].StartedAtMs).To(BeEquivalentTo(secondStart))
 	Expect(f.Serving("s")[0].Address).To(Equal(moved.Address))
 }
+
+// Guards against a target that is taken for one of its earlier starts, because an entry of that
+// one comes late and a stream that it began is resumed.
+func TestLabelOfEarlierStartChangesNothing(t *testing.T) {
+	RegisterTestingT(t)
+	f := newRestartFleet()
+	f.RecordStart("a", secondStart)
+	label := f.Serving("s")[0].Software
+	f.Put(entryOf(laterStart))
+	f.Put(entryOf(secondStart))
+	f.RecordLabel(label)
+	Expect(f.Serving("s")[0].StartedAtMs).To(BeEquivalentTo(laterStart))
+	f.RecordStart("a", secondStart)
+	Expect(f.Serving("s")[0].StartedAtMs).To(BeEquivalentTo(secondStart), "the clock of the target was set back")
+}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -35,12 +35,26 @@
 	return out
 }
 
-// RecordStart records that a target has started again, before its entry shows that: nothing
-// is known of the new start. One that is not newer than the known one has no effect, nor has one of
-// a target that leaves, which is not used before its entry shows it.
+// RecordStart records that a connection to a target has found a start that its entry does not
+// show. Nothing is known of a newer start. An earlier one has no effect unless an entry of it was
+// ignored: the clock of the target was set back then, and the entry counts.
 func (f *Fleet) RecordStart(id string, startedAtMs int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	if !ok || s.hidden == nil || s.hidden.StartedAtMs != startedAtMs {
+		f.recordNewerStart(id, startedAtMs)
+		return
+	}
+	t := *s.hidden
+	f.reset(t)
+	f.onChange(Change{Target: t, Event: "restarted with an earlier clock"})
+	f.indexByService()
+}
+
+// recordNewerStart records a start that no entry shows. One that is not newer than the known one
+// has no effect, nor has one of a target that leaves, which is not used before its entry shows it.
+func (f *Fleet) recordNewerStart(id string, startedAtMs int64) {
 	s, ok := f.targets[id]
 	if !ok || s.Leaving || startedAtMs <= s.StartedAtMs {
 		return
@@ -72,9 +86,13 @@
 // RecordLabel records the start that a label stands for, if it is newer than the known one:
 // another host has found it.
 func (f *Fleet) RecordLabel(software string) {
-	if start, ok := origin.ParseLabel(software); ok {
-		f.RecordStart(start.Target, start.StartedAtMs)
+	start, ok := origin.ParseLabel(software)
+	if !ok {
+		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordNewerStart(start.Target, start.StartedAtMs)
 }
 
 // ListedSoftware returns the software version in the entry of the start that a label stands
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -129,7 +129,7 @@
 // handleRestart records a start that is newer than the listed one. The request may go to it like
 // to any other target of which only the start is known, but not to a second such start of a target:
 // one that states another start each time would be queried without end. An older start is about to
-// end.
+// end, unless its entry came later.
 func (p *Proxy) handleRestart(j *job, c reservation, e *RestartedError) attemptResult {
 	p.Metrics.Count("restart found")
 	p.fleet.RecordStart(c.ID, e.FoundMs)
