Wait for the end check of a target that stops for a second

Cause: the check of the end gave up after 0.8 s, the limit of a single check of a stalled stream, and took the silence for the end of the worker.

It has the limit of the query for a start now, 1.6 s. Only the end of such a stream waits, as its events were passed on before.

Evidence: TestWholeStreamCutAtStoppedWorker failed for both kinds of streams and passes, as do the tests of killed workers that passed before.

--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -29,8 +29,6 @@
 		// Only engines state their start.
 		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
 	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
 		return false
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -12,11 +12,9 @@
 )
 
 const (
-	// startTimeout bounds the query for the start of a target on a new connection. A sound
-	// target may stop for a second or so and go on.
+	// startTimeout bounds the query for the start of a target on a new connection, also after
+	// the end of a response. A sound target may stop for a second or so and go on.
 	startTimeout = maxUnansweredChecks * noDataLimit
-	// endTimeout bounds the same after the end of a response, which the caller waits for.
-	endTimeout = noDataLimit
 	// restartTimeout bounds the same after a failed attempt, as the request waits for it.
 	restartTimeout = 250 * time.Millisecond
 	// maxStartQueries is the number of connections on which a target that closes each of them
