Share the result of a failed read of the stored streams

Cause: a caller that waited for a read took its result only if it succeeded; after a failure each one read again.

Change: those that called before a read started share its result either way. For a second after a failed read, streams that the other hosts' witnesses deny are not looked for in the store; as before, they began at the base.

--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -153,7 +153,8 @@
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
-	if complete := s.store.complete(); (complete || !absent) && s.store.read(ctx) {
+	complete := s.store.complete()
+	if mayRead := !absent || complete && !s.store.failedToRead(); mayRead && s.store.read(ctx) {
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
--- a/internal/server/streamread.go
+++ b/internal/server/streamread.go
@@ -17,7 +17,7 @@
 const staleRowsInterval = 30 * time.Second
 
 // read reads the streams that all hosts had stored before the call. It reports whether it
-// could.
+// could. Callers that wait for a read share its result if it started after their calls.
 func (s *streamStore) read(ctx context.Context) bool {
 	calledAt := wire.BootTime()
 	select {
@@ -27,12 +27,17 @@
 	}
 	defer func() { <-s.reading }()
 	if s.readAt > calledAt {
-		return true
+		return !s.failedToRead()
 	}
 	startedAt := wire.BootTime()
-	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	scanCtx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	rows, err := s.scan(ctx)
+	rows, err := s.scan(scanCtx)
+	if err != nil && ctx.Err() != nil {
+		return false // the caller has left, which says nothing about the platform
+	}
+	s.readAt = startedAt
+	s.recordRead(err)
 	if err != nil {
 		s.host.log.Warn("stored streams cannot be read", zap.Error(err))
 		return false
@@ -45,10 +50,26 @@
 		}
 		s.registry.Import(begun, startedAt)
 	}
-	s.readAt = startedAt
 	return true
 }
 
+// recordRead records the result of a read.
+func (s *streamStore) recordRead(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readFailedAt = 0
+	if err != nil {
+		s.readFailedAt = wire.BootTime()
+	}
+}
+
+// failedToRead reports whether the last read has just failed.
+func (s *streamStore) failedToRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readFailedAt != 0 && wire.BootTime()-s.readFailedAt < storeFailureMemory
+}
+
 // scan returns all rows of the table.
 func (s *streamStore) scan(ctx context.Context) ([]table.Row, error) {
 	var rows []table.Row
--- a/internal/server/streamrows.go
+++ b/internal/server/streamrows.go
@@ -25,7 +25,8 @@
 	// are so many that they write less often, no stream waits, and a missing record says
 	// nothing.
 	maxStoreWait = 300 * time.Millisecond
-	// storeFailureMemory is how long after a failed write no stream waits for its record.
+	// storeFailureMemory is how long after a failed write no stream waits for its record, and
+	// after a failed read none for those of others that witnesses deny.
 	storeFailureMemory = time.Second
 	// streamRowTime is the time whose streams one row holds, streamRows the number of rows
 	// of a host, which it writes in turn. Together they exceed the time for which a
@@ -70,9 +71,11 @@
 	stored   uint64
 	changed  chan struct{}
 	failedAt time.Duration
+	// readFailedAt is the boot time at which the last read failed; zero if it did not.
+	readFailedAt time.Duration
 
 	// reading is held by the caller that reads the rows, and guards readAt, the boot time at
-	// which the last successful read started.
+	// which the last read that ended started.
 	reading chan struct{}
 	readAt  time.Duration
 }
