--- a/internal/server/streamread.go
+++ b/internal/server/streamread.go
@@ -17,7 +17,7 @@
 const staleRowsInterval = 30 * time.Second
 
 // read reads the streams that all hosts had stored before the call. It reports whether it
-// could. A read that fails while other callers wait has failed for these, too.
+// could. Callers that wait for a read share its result if it started after their calls.
 func (s *streamStore) read(ctx context.Context) bool {
 	calledAt := wire.BootTime()
 	select {
@@ -26,20 +26,19 @@
 		return false
 	}
 	defer func() { <-s.reading }()
-	switch {
-	case s.readAt > calledAt:
-		return true
-	case s.readFailedAt > calledAt:
-		return false
+	if s.readAt > calledAt {
+		return !s.failedToRead()
 	}
 	startedAt := wire.BootTime()
 	scanCtx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
 	rows, err := s.scan(scanCtx)
+	if err != nil && ctx.Err() != nil {
+		return false // the caller has left, which says nothing about the platform
+	}
+	s.readAt = startedAt
+	s.recordRead(err)
 	if err != nil {
-		if ctx.Err() == nil { // else the caller has left, which says nothing about the platform
-			s.readFailedAt = wire.BootTime()
-		}
 		s.host.log.Warn("stored streams cannot be read", zap.Error(err))
 		return false
 	}
@@ -51,10 +50,26 @@
 		}
 		s.registry.Import(begun, startedAt)
 	}
-	s.readAt = startedAt
 	return true
 }
 
+// recordRead records the result of a read.
+func (s *streamStore) recordRead(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readFailedAt = 0
+	if err != nil {
+		s.readFailedAt = wire.BootTime()
+	}
+}
+
+// failedToRead reports whether the last read has just failed.
+func (s *streamStore) failedToRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readFailedAt != 0 && wire.BootTime()-s.readFailedAt < storeFailureMemory
+}
+
 // scan returns all rows of the table.
 func (s *streamStore) scan(ctx context.Context) ([]table.Row, error) {
 	var rows []table.Row
