Ask only engines for their start after a failed attempt

The check is the one that confirms the end of a response, and both share it now. Tests of proxy and server pass, and those of crashes, killed workers and starts in platform.

--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -25,23 +25,12 @@
 // stillRuns finds out whether the listed start of a target still runs.
 func (p *Proxy) stillRuns(ctx context.Context, j *job, c reservation) bool {
 	p.Metrics.Count("end check")
-	if !j.checksStart() && j.service.Engine == nil {
-		// Only engines state their start.
+	if !j.statesStart() {
 		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
 	}
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
-	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = conn.Close() }() // no request was sent on it
-	_, _, err = p.identify(ctx, conn, c.Target)
-	var restarted *RestartedError
-	if errors.As(err, &restarted) {
-		p.handleRestart(j, c, restarted)
-	}
-	return err == nil
+	return p.checkStart(ctx, j, c) == nil
 }
 
 // mayLackEvents reports whether a response without events may be what is left of a stream.
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -138,25 +139,36 @@
 	return retryable{reason: e.Error(), sameTarget: again}
 }
 
-// restarted finds out whether a target has started again since an attempt was sent to the start
-// of its entry, and records that. An attempt that was sent when the entry was out of date already
-// may have run at the later start.
-func (p *Proxy) restarted(ctx context.Context, c reservation) bool {
-	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
-	defer cancel()
+// statesStart reports whether the target of a request states its start: only engines do.
+func (j *job) statesStart() bool { return j.checksStart() || j.service.Engine != nil }
+
+// checkStart finds out on a connection of its own whether a target still is the listed start, and
+// records a newer one. It returns a *RestartedError if it is another start.
+func (p *Proxy) checkStart(ctx context.Context, j *job, c reservation) error {
 	conn, err := p.paths.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
-		return false
+		return err
 	}
-	defer func() { _ = conn.Close() }() // only the start counts
-	p.Metrics.Count("start query")
-	start, err := p.starts.StartOf(ctx, conn, c.Target)
-	if err != nil || c.StartedAtMs == 0 || start.UnixMs <= c.StartedAtMs {
+	defer func() { _ = conn.Close() }() // no request was sent on it
+	_, _, err = p.identify(ctx, conn, c.Target)
+	var restarted *RestartedError
+	if errors.As(err, &restarted) {
+		p.handleRestart(j, c, restarted)
+	}
+	return err
+}
+
+// restarted finds out whether a target has started again since an attempt was sent to the start
+// of its entry. An attempt that was sent when the entry was out of date already may have run at
+// the later start.
+func (p *Proxy) restarted(ctx context.Context, j *job, c reservation) bool {
+	if !j.statesStart() {
 		return false
 	}
-	p.Metrics.Count("restart found")
-	p.fleet.RecordStart(c.ID, start.UnixMs)
-	return true
+	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
+	defer cancel()
+	var restarted *RestartedError
+	return errors.As(p.checkStart(ctx, j, c), &restarted) && restarted.FoundMs > restarted.ListedMs
 }
 
 // unstatedStarts is a Starts for targets that do not state their start.
