--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -444,9 +444,10 @@
 	}
 }
 
-// transport returns the transport without connection reuse for requests that must
-// not be repeated, and the one that checks the starts of targets for streams that may go on. A reused connection may be closed by the target while the
-// request is sent, which leaves unknown whether it ran.
+// transport returns the transport without connection reuse for requests that must not be
+// repeated, and the one that checks the starts of targets for streams that may go on. A reused
+// connection may be closed by the target while the request is sent, which leaves unknown whether
+// it ran.
 func (p *Proxy) transport(j *job) http.RoundTripper {
 	if j.checksStart() {
 		return p.streamTransport
--- a/internal/wire/discard.go
+++ b/internal/wire/discard.go
@@ -56,9 +56,10 @@
 // connCheckKey is the key of a check of connections in a context.
 type connCheckKey struct{}
 
-// WithConnCheck returns a context for requests that may only be sent on connections which
-// pass a check, besides those of the context. Kept connections that do not pass are closed before anything is sent on them.
-// The check gets connections as the function of WithDialContext returned them.
+// WithConnCheck returns a context for requests that may only be sent on connections which pass a
+// check, besides those of the context. Kept connections that do not pass are closed before
+// anything is sent on them. The check gets connections as the function of WithDialContext
+// returned them.
 func WithConnCheck(ctx context.Context, check func(c net.Conn) bool) context.Context {
 	earlier := connCheckOf(ctx)
 	return context.WithValue(ctx, connCheckKey{}, func(c net.Conn) bool { return earlier(c) && check(c) })
