Query the start of a leaving target that can be reached again

Callers' new streams were refused while workers that had said that they leave were back under their IDs, until their new entries arrived.

Cause: the mark that a target leaves is a fact of one start, and is kept under the ID. Nothing is sent to such a target, so that no stream could find the new start.

Change: once a target that was leaving accepts connections again after it did not, the host queries its start. A newer one is recorded without the mark, as one whose entry is not there yet. It is one query for each host and such start.

TestWorkerThatSaysThatItLeaves passes.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -40,7 +40,7 @@
 	}
 	f.ended.add(*s.Target, f.now())
 	t := *s.Target
-	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
+	t.StartedAtMs, t.Unlisted, t.Leaving, t.WarmupLeft = startedAtMs, true, false, 0
 	t.Software = unlistedSoftware(id, startedAtMs)
 	f.reset(t)
 	f.targets[id].unlistedSince = f.now()
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -20,6 +20,8 @@
 	maxProbes = 32
 	// healthTimeout bounds the health check of a target that may have become cold.
 	healthTimeout = 300 * time.Millisecond
+	// startTimeout bounds the query for the start of a target that was leaving.
+	startTimeout = 300 * time.Millisecond
 )
 
 // probeTargets connects to targets that are marked unreachable, until ctx is
@@ -68,12 +70,31 @@
 		h.recordColdness(ctx, t)
 	}
 	h.fleet.RecordProbe(t, err == nil)
+	if err == nil && t.Leaving {
+		h.recordStart(ctx, t)
+	}
 	if err == nil {
 		h.paths.restored()
 		h.proxy.DispatchSoon()
 	}
 }
 
+// recordStart queries whether a target that was leaving has started again. Nothing is sent to
+// it otherwise, so that no request would find that out before its entry shows it.
+func (h *Host) recordStart(ctx context.Context, t fleet.Target) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	conn, err := wire.Dialer().DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }() // no request follows on it
+	start, err := h.platform.TargetClient().StartOf(ctx, conn, t.Address)
+	if err == nil {
+		h.fleet.RecordStart(t.ID, start.UnixMs)
+	}
+}
+
 // recordColdness queries whether a target that can be reached again is cold. It is taken for
 // cold if it does not say: it may have started again before its entry shows that.
 func (h *Host) recordColdness(ctx context.Context, t fleet.Target) {
