--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"sesamehill.example/sesamehill/internal/crash"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/opconf"
+	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/pause"
 	"sesamehill.example/sesamehill/internal/safego"
 	"sesamehill.example/sesamehill/internal/wire"
@@ -357,6 +358,7 @@
 		if j.headerSent {
 			j.order.resume()
 		}
+		j.order.numbering = p.numberings.of(origin.Origin{Service: j.service.Name, Software: c.Software})
 		return p.relay(ctx, j, c, r, resp)
 	}
 	return p.relayBuffered(ctx, j, c, r, resp)
@@ -444,9 +446,10 @@
 	}
 }
 
-// transport returns the transport without connection reuse for requests that must
-// not be repeated, and the one that checks the starts of targets for streams that may go on. A reused connection may be closed by the target while the
-// request is sent, which leaves unknown whether it ran.
+// transport returns the transport without connection reuse for requests that must not be
+// repeated, and the one that checks the starts of targets for streams that may go on. A reused
+// connection may be closed by the target while the request is sent, which leaves unknown whether
+// it ran.
 func (p *Proxy) transport(j *job) http.RoundTripper {
 	if j.checksStart() {
 		return p.streamTransport
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -28,8 +28,6 @@
 	if !j.statesStart() {
 		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
 	return p.checkStart(ctx, j, c) == nil
 }
 
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -13,11 +13,9 @@
 )
 
 const (
-	// startTimeout bounds the query for the start of a target on a new connection. A sound
-	// target may stop for a second or so and go on.
+	// startTimeout bounds the query for the start of a target on a new connection, also after
+	// the end of a response. A sound target may stop for a second or so and go on.
 	startTimeout = maxUnansweredChecks * noDataLimit
-	// endTimeout bounds the same after the end of a response, which the caller waits for.
-	endTimeout = noDataLimit
 	// restartTimeout bounds the same after a failed attempt, as the request waits for it.
 	restartTimeout = 250 * time.Millisecond
 	// maxStartQueries is the number of connections on which a target that closes each of them
@@ -130,7 +128,7 @@
 // handleRestart records a start that is newer than the listed one. The request may go to it like
 // to any other target of which only the start is known, but not to a second such start of a target:
 // one that states another start each time would be queried without end. An older start is about to
-// end.
+// end, unless its entry came later.
 func (p *Proxy) handleRestart(j *job, c reservation, e *RestartedError) attemptResult {
 	p.Metrics.Count("restart found")
 	p.fleet.RecordStart(c.ID, e.FoundMs)
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -153,7 +153,9 @@
 	if o, evidence := s.findHere(service, request); evidence != "" {
 		return proxy.OriginFound{Origin: o, Evidence: evidence}
 	}
-	if complete := s.store.complete(); (complete || !absent) && s.store.read(ctx) {
+	// Owners lack the record of a stream whose host ended before it sent that.
+	complete := s.store.complete()
+	if mayRead := !absent || complete && !s.store.failedToRead(); mayRead && s.store.read(ctx) {
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
