Show a stream that begins before its record is stored or sent

The store has just failed, so that the first event of a stream that begins elsewhere than at the base does not wait for its record, which other hosts get up to 15 ms later. A host that is killed in between leaves a stream that the others take for one of the base.

--- a/internal/server/origins_test.go
+++ b/internal/server/origins_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,3 +93,25 @@
 		Expect(time.Since(started)).To(BeNumerically("<", streamCallTimeout))
 	})
 })
+
+var _ = Describe("the record of a stream that cannot be stored", func() {
+	// Guards against a stream that is taken for one of the base, as its host is killed after its
+	// first event and before it has sent the record to other hosts.
+	It("is sent before the first event", func() {
+		origins := witnessOrigins(&keyedTable{})
+		origins.store.failedAt = wire.BootTime()
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		var sent atomic.Bool
+		go func() {
+			for ctx.Err() == nil {
+				if len(origins.Outgoing(ctx)) > 0 {
+					time.Sleep(10 * time.Millisecond) // as the datagrams are written
+					sent.Store(true)
+				}
+			}
+		}()
+		origins.Begin(ctx, origin.Origin{Service: "llm", Software: "v2"}, "first")
+		Expect(sent.Load()).To(BeTrue())
+	})
+})
