Send the record of a stream before its first event if it cannot be stored

Cause: the first event waits for the stored record, but where it does not wait, for nothing: the record was sent with the next batch of datagrams.

Change: such a first event waits until the batch with its record has been sent, about 15 ms, 100 ms at most.

Evidence: in the spec the first event came before the record was sent, and comes after it now. Tests of server, origin and gossip pass with -race.

--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -308,6 +308,14 @@
 	return o, ok
 }
 
+// Sequence returns the position of the last record. All up to it have been returned by
+// TakeOutgoing, or will be by its next call.
+func (r *Registry) Sequence() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sequence
+}
+
 // TakeOutgoing returns the streams that have to be sent, by the hosts that owners returns
 // for each, and forgets that they have to be.
 func (r *Registry) TakeOutgoing(owners func(Key) []string) map[string][]Begun {
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -23,6 +23,10 @@
 	// originFlushInterval is the time for which streams that have begun are collected
 	// before they are sent to other hosts.
 	originFlushInterval = 15 * time.Millisecond
+	// maxSendWait is how long the first event of a stream whose record cannot be stored waits
+	// until it has been sent.
+	maxSendWait       = 100 * time.Millisecond
+	sentCheckInterval = 2 * time.Millisecond
 	// originObserveInterval is the time between two looks at the listed software versions.
 	originObserveInterval = 50 * time.Millisecond
 	// originOwners is the number of hosts that remember a stream, where hosts are many.
@@ -47,6 +51,9 @@
 	store    *streamStore
 	// began receives a value after a stream has begun that other hosts have to know.
 	began chan struct{}
+	// taken is the sequence number of the last record that Outgoing has returned. sent is that
+	// of the last one which was sent: the caller of Outgoing has come back for more.
+	taken, sent atomic.Uint64
 	// startedAt is the boot time of the start of this host, messageAt that of the last
 	// message of another host and listAt that of the last read of the list of targets.
 	startedAt         time.Duration
@@ -100,7 +107,8 @@
 }
 
 // Begin records that requests bring the first events of a stream, or go on with one. It
-// returns when the record is stored, if the stream would be unknown without it.
+// returns when the record is stored, or else sent, if the stream would be taken for one of the
+// base without it.
 func (s *streamOrigins) Begin(ctx context.Context, o origin.Origin, requests ...string) {
 	s.observe()
 	var last origin.Receipt
@@ -111,8 +119,17 @@
 		s.notify()
 		s.store.notify()
 	}
-	if last.Store {
-		s.store.await(ctx, last.Sequence)
+	if last.Store && !s.store.await(ctx, last.Sequence) {
+		s.awaitSent(ctx, last.Sequence)
+	}
+}
+
+// awaitSent waits until a record has been sent to other hosts, maxSendWait at most.
+func (s *streamOrigins) awaitSent(ctx context.Context, sequence uint64) {
+	for deadline := wire.BootTime() + maxSendWait; s.sent.Load() < sequence && wire.BootTime() < deadline; {
+		if pause.For(ctx, sentCheckInterval) != nil {
+			return
+		}
 	}
 }
 
@@ -297,6 +314,7 @@
 // Outgoing waits for streams that have begun at this host and returns them by the address
 // of an owner.
 func (s *streamOrigins) Outgoing(ctx context.Context) map[string][]origin.Begun {
+	s.sent.Store(s.taken.Load())
 	select {
 	case <-ctx.Done():
 		return nil
@@ -305,6 +323,7 @@
 	if pause.For(ctx, originFlushInterval) != nil {
 		return nil
 	}
+	s.taken.Store(s.registry.Sequence())
 	return s.registry.TakeOutgoing(s.host.members.ownersOf)
 }
 
--- a/internal/server/streamrows.go
+++ b/internal/server/streamrows.go
@@ -201,26 +201,27 @@
 	}
 }
 
-// await waits until a stream is stored. It gives up after maxStoreWait, and at once if the
-// platform has just failed to store streams.
-func (s *streamStore) await(ctx context.Context, sequence uint64) {
+// await waits until a stream is stored and reports whether it is. It gives up after maxStoreWait,
+// and at once if the platform has just failed to store streams.
+func (s *streamStore) await(ctx context.Context, sequence uint64) bool {
 	if s.interval() > maxStoreWait {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxStoreWait)
 	defer cancel()
 	for {
 		s.mu.Lock()
-		done := s.stored >= sequence || s.failedAt != 0 && wire.BootTime()-s.failedAt < storeFailureMemory
+		stored := s.stored >= sequence
+		failed := s.failedAt != 0 && wire.BootTime()-s.failedAt < storeFailureMemory
 		changed := s.changed
 		s.mu.Unlock()
-		if done {
-			return
+		if stored || failed {
+			return stored
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
