Wait long for the end check only where nothing else can go on

A response that another target can go on with, or run again, is given up after 0.8 s, as before. Any other is cut if the check gives up, so that it waits 1.6 s: a sound target may stop for a second or so.

Evidence: whole.txtar, TestWholeStreamCutAtStoppedWorker and the other tests of killed workers pass.

--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 )
 
 // errEndUnconfirmed says that a response which ended with its connection may lack its rest.
@@ -28,9 +29,21 @@
 	if !j.statesStart() {
 		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
 	}
+	ctx, cancel := context.WithTimeout(ctx, p.endTimeout(j, c))
+	defer cancel()
 	return p.checkStart(ctx, j, c) == nil
 }
 
+// endTimeout returns how long a target may take to confirm the end of a response. A sound target
+// may stop for a second or so; only a response that another target can go on with is not cut if it
+// is given up sooner.
+func (p *Proxy) endTimeout(j *job, c reservation) time.Duration {
+	if j.route.Repeatable() && j.attempts < j.route.Attempts && p.alternativesTo(j, c)(true) {
+		return noDataLimit
+	}
+	return startTimeout
+}
+
 // mayLackEvents reports whether a response without events may be what is left of a stream.
 // Nothing shows that for one that breaks off or that names no type.
 func (j *job) mayLackEvents(r Reply, resp *http.Response) bool {
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// startTimeout bounds the query for the start of a target on a new connection, also after
-	// the end of a response. A sound target may stop for a second or so and go on.
+	// startTimeout bounds the query for the start of a target on a new connection. A sound
+	// target may stop for a second or so and go on.
 	startTimeout = maxUnansweredChecks * noDataLimit
 	// restartTimeout bounds the same after a failed attempt, as the request waits for it.
 	restartTimeout = 250 * time.Millisecond
