--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -53,14 +53,14 @@
 }
 
 // recordNewerStart records a start that no entry shows. One that is not newer than the known one
-// has no effect, nor has one of a target that leaves, which is not used before its entry shows it.
+// has no effect. That the former start leaves says nothing about this one.
 func (f *Fleet) recordNewerStart(id string, startedAtMs int64) {
 	s, ok := f.targets[id]
-	if !ok || s.Leaving || startedAtMs <= s.StartedAtMs {
+	if !ok || startedAtMs <= s.StartedAtMs {
 		return
 	}
 	t := *s.Target
-	t.StartedAtMs, t.Unlisted, t.WarmupLeft = startedAtMs, true, 0
+	t.StartedAtMs, t.Unlisted, t.Leaving, t.WarmupLeft = startedAtMs, true, false, 0
 	t.Software = origin.Unlisted{Target: id, StartedAtMs: startedAtMs}.Label()
 	f.reset(t)
 	n := f.targets[id]
