--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -89,3 +89,13 @@
 	f.RecordStart("a", secondStart)
 	Expect(f.Serving("s")[0].StartedAtMs).To(BeEquivalentTo(secondStart), "the clock of the target was set back")
 }
+
+// Guards against an entry without a start that ends what is known of its target, because a
+// connection to the target finds no stated start either.
+func TestUnstatedStartChangesNothing(t *testing.T) {
+	RegisterTestingT(t)
+	f := newRestartFleet()
+	f.Put(entryOf(0))
+	f.RecordStart("a", 0)
+	Expect(f.Serving("s")[0].StartedAtMs).To(BeEquivalentTo(firstStart))
+}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -37,12 +37,13 @@
 
 // RecordStart records that a connection to a target has found a start that its entry does not
 // show. Nothing is known of a newer start. An earlier one has no effect unless an entry of it was
-// ignored: the clock of the target was set back then, and the entry counts.
+// ignored: the clock of the target was set back then, and the entry counts. Zero stands for a start
+// that the target does not state.
 func (f *Fleet) RecordStart(id string, startedAtMs int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.targets[id]
-	if !ok || s.hidden == nil || s.hidden.StartedAtMs != startedAtMs {
+	if !ok || startedAtMs == 0 || s.hidden == nil || s.hidden.StartedAtMs != startedAtMs {
 		f.recordNewerStart(id, startedAtMs)
 		return
 	}
