--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -35,7 +35,7 @@
 // Start is a start of a target.
 type Start struct {
 	// UnixMs is the time of the start in Unix milliseconds; zero if the target does not state
-	// it, or another target has the address.
+	// it.
 	UnixMs int64
 	// Closing is set if the target closes the connection.
 	Closing bool
