--- a/internal/origin/unlisted.go
+++ b/internal/origin/unlisted.go
@@ -39,6 +39,12 @@
 	return Unlisted{Target: rest[:i], StartedAtMs: startedAtMs}, true
 }
 
+// Reserved reports whether a text can stand for unlisted starts, so that it names no software
+// version.
+func Reserved(software string) bool {
+	return software == UnlistedVersion || strings.HasPrefix(software, unlistedPrefix)
+}
+
 // versionName returns the name of a software version, or of a label, among the versions of a
 // service.
 func versionName(software string) string {
