Count no message with streams as one that states software versions

Cause: messages with the streams that began at a host carry no versions, and were recorded as if they had stated that there is one only. They are sent while there are several.

Change: they record streams only.

--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -48,12 +48,14 @@
 }
 
 // recordOrigins records the software versions that another host has seen, and the streams
-// that began there.
+// that began there. A message with streams states no versions.
 func (e *Exchange) recordOrigins(m Message, delay time.Duration) {
 	if e.origins == nil {
 		return
 	}
-	e.origins.RecordSightings(m.Software, delay)
+	if m.Kind != Streams {
+		e.origins.RecordSightings(m.Software, delay)
+	}
 	if len(m.Begun) > 0 {
 		e.origins.RecordBegun(m.Begun)
 	}
