Query only engines for their start

A target without a report takes the query for a request: it waits for a slot, or is refused with 503, which would have counted the target as unreachable. Streams of such services go on by the entry, as before.

--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -63,7 +63,8 @@
 	return c.startedAtMs == 0 || listedMs == 0 || c.startedAtMs == listedMs
 }
 
-// listedTargetKey is the key of a listed target in a context.
+// listedTargetKey is the key of a listed target in a context, which reaches dialStart through
+// net/http.
 type listedTargetKey struct{}
 
 // withListedStart returns the context of an attempt whose connection has to lead to the listed
@@ -76,9 +77,15 @@
 	})
 }
 
+// statesStart reports whether the target of a request states its start: only engines do. Other
+// targets take the query for a request, which waits for a slot or is refused.
+func (j *job) statesStart() bool { return j.service.Engine != nil }
+
 // checksStart reports whether it matters at which start of its target a request runs: a stream
 // may go on only at the software version that began it.
-func (j *job) checksStart() bool { return j.route.Kind == opconf.Streaming && j.route.Resumable }
+func (j *job) checksStart() bool {
+	return j.route.Kind == opconf.Streaming && j.route.Resumable && j.statesStart()
+}
 
 // dialStart connects to a target and checks that it is the listed start. The check is made on
 // the connection that will carry requests, so that no other start can answer them.
@@ -137,9 +144,6 @@
 	return retryable{reason: e.Error(), sameTarget: again}
 }
 
-// statesStart reports whether the target of a request states its start: only engines do.
-func (j *job) statesStart() bool { return j.checksStart() || j.service.Engine != nil }
-
 // checkStart finds out on a connection of its own whether a target still is the listed start, and
 // records a newer one. It returns a *RestartedError if it is another start.
 func (p *Proxy) checkStart(ctx context.Context, j *job, c reservation) error {
