Renew the view of the hosts for streams only

Since a host that appears ended the kept view of all hosts, from which the contenders for the lease are taken too, so that orders came earlier. The view is now renewed before records of streams are sent, if a host has appeared.

TestStreamsOfHostKilled... and internal/server were run.

--- a/internal/server/hubs.go
+++ b/internal/server/hubs.go
@@ -41,6 +41,16 @@
 	contenders []string
 }
 
+// renewView ends the cached view if a host has appeared or started again, so that streams which
+// begin now are sent to this start of the host, too.
+func (m *members) renewView() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hostsChanged {
+		m.cachedView, m.hostsChanged = nil, false
+	}
+}
+
 // currentView returns the view of the hosts. The caller holds mu.
 func (m *members) currentView() *membershipView {
 	now := wire.BootTime()
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -154,6 +154,8 @@
 	// cachedView is the last computed view of the hosts; it is used for viewLifetime.
 	cachedView   *membershipView
 	viewLifetime time.Duration
+	// hostsChanged is set if a host has appeared or started again since renewView.
+	hostsChanged bool
 }
 
 // observedRow is a row with its position and the boot time at which this host first
@@ -408,7 +410,7 @@
 	defer m.mu.Unlock()
 	old, ok := m.rows[row.Host]
 	if !ok || old.StartedAtMs != row.StartedAtMs {
-		m.cachedView = nil // streams that begin now are sent to this start of the host, too
+		m.hostsChanged = true
 	}
 	if !ok || row.newerThan(old, position) {
 		m.rows[row.Host] = observedRow{memberRow: row, position: position, firstSeen: now}
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -326,6 +326,7 @@
 			return nil
 		}
 	}
+	s.host.members.renewView()
 	s.taken.Store(s.registry.Sequence())
 	return s.registry.TakeOutgoing(s.host.members.ownersOf)
 }
