--- a/review/stand-2/stand.go
+++ b/review/stand-2/stand.go
@@ -258,10 +258,15 @@
 
 // PutConfig writes the operator configuration.
 func (d *Deployment) PutConfig(version int, routes, services []any) {
+	d.PutConfigOf(version, routes, services, []string{Key})
+}
+
+// PutConfigOf writes the operator configuration with the keys of its tenant.
+func (d *Deployment) PutConfigOf(version int, routes, services []any, keys []string) {
 	d.Store.Put("op", "config", map[string]any{
 		"Version": version, "Routes": routes, "Services": services,
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{"Name": "bozi300", "ApiKeys": []string{Key}, "Priority": 1}},
+		"Tenants": []any{map[string]any{"Name": "bozi300", "ApiKeys": keys, "Priority": 1}},
 	})
 }
 
