--- a/review/stand-3/bodies.go
+++ b/review/stand-3/bodies.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,14 +18,11 @@
 	bodyFirst = 36000
 	slowPiece = 260
 	slowPause = 370 * time.Millisecond
-	// takenTime is how long a connection has to stay open to count as taken by the host.
-	takenTime = 500 * time.Millisecond
 )
 
 // crowd is clients that send legal bodies, one after the other, each on a new connection.
 type crowd struct {
-	rig   *rig
-	taken *takenLog
+	rig *rig
 	// begun and ended count requests.
 	begun, ended atomic.Int64
 	group        sync.WaitGroup
@@ -34,7 +30,7 @@
 
 // startCrowd starts a number of clients, which send until ctx ends.
 func (r *rig) startCrowd(ctx context.Context, clients int) *crowd {
-	c := &crowd{rig: r, taken: &takenLog{startedAt: time.Now()}}
+	c := &crowd{rig: r}
 	for n := range clients {
 		c.group.Go(func() {
 			for try := 0; ctx.Err() == nil; try++ {
@@ -54,7 +50,6 @@
 		time.Sleep(100 * time.Millisecond)
 		return
 	}
-	openedAt, counted := time.Now(), false
 	stopClose := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer func() {
 		stopClose()
@@ -72,43 +67,11 @@
 	for left := bodyBytes - bodyFirst; err == nil && left > 0 && ctx.Err() == nil; left -= piece {
 		_, err = conn.Write(make([]byte, min(left, piece)))
 		time.Sleep(pause)
-		if err == nil && !counted && time.Since(openedAt) > takenTime {
-			counted = true
-			c.taken.add(openedAt)
-		}
 	}
 	if err == nil { // it waits for the answer
-		if n, _ := conn.Read(make([]byte, 4096)); n > 0 && !counted {
-			c.taken.add(openedAt)
-		}
+		_, _ = conn.Read(make([]byte, 4096))
 	}
 	if !c.rig.trouble {
 		time.Sleep(time.Second)
 	}
 }
-
-// takenLog holds when the host took new connections, of whichever client.
-type takenLog struct {
-	startedAt time.Time
-
-	mu sync.Mutex
-	at []time.Time
-}
-
-func (t *takenLog) add(at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.at = append(t.at, at)
-}
-
-// longestGap returns the longest time between two connections that the host took.
-func (t *takenLog) longestGap() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	slices.SortFunc(t.at, time.Time.Compare)
-	gap, last := time.Duration(0), t.startedAt
-	for _, at := range append(t.at, time.Now()) {
-		gap, last = max(gap, at.Sub(last)), at
-	}
-	return gap
-}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,7 +23,7 @@
 const caseLimit = 115 * time.Second
 
 func main() {
-	cases := map[string]func(*rig){"parts": playParts, "clock": playClock, "path": playPath, "revoke": playRevoke, "slow": playSlow}
+	cases := map[string]func(*rig){"parts": playParts, "silent": playSilent, "clock": playClock, "path": playPath, "revoke": playRevoke}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-3 CASE ROOT RECORD")
 		os.Exit(exitNotRun)
--- a/review/stand-3/rig.go
+++ b/review/stand-3/rig.go
@@ -50,10 +50,12 @@
 	root, dir string
 	trouble   bool
 	store     *stand.Store
-	front     string
-	ready     string
-	cmd       *exec.Cmd
-	exited    chan struct{}
+	// storeAddress is the address of the store as the host knows it.
+	storeAddress string
+	front        string
+	ready        string
+	cmd          *exec.Cmd
+	exited       chan struct{}
 
 	mu        sync.Mutex
 	file      *os.File
@@ -72,6 +74,7 @@
 	r.dir, err = os.MkdirTemp("", "sesamehill-case")
 	r.must(err)
 	r.store = stand.NewStore()
+	r.storeAddress = r.store.Address()
 	r.cleanups = append(r.cleanups, r.store.Close)
 	r.record("disruption: %v", r.trouble)
 	return r
@@ -151,7 +154,7 @@
 "south-depot" = "south"
 "north-office" = "north"
 "south-hall" = "south"
-`, r.store.Address(), r.front, r.ready, r.freeAddress(), r.freeAddress(), memoryMB, descriptors, drainTime.Milliseconds())
+`, r.storeAddress, r.front, r.ready, r.freeAddress(), r.freeAddress(), memoryMB, descriptors, drainTime.Milliseconds())
 	file := filepath.Join(r.dir, "settings.toml")
 	r.must(os.WriteFile(file, []byte(settings), 0o600))
 	log, err := os.Create(filepath.Join(r.dir, "host.log"))
