--- a/review/stand-3/clock.go
+++ b/review/stand-3/clock.go
@@ -4,9 +4,7 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,11 +30,11 @@
 		ahead = clockStep
 	}
 	now := time.Now()
-	first := r.newWorker("i-a1", appService, "", now.Add(ahead).UnixMilli(), bookWork)
-	other := r.newWorker("i-b2", appService, "", now.UnixMilli(), bookWork)
+	first := r.newWorker("i-a1", "", now.Add(ahead).UnixMilli(), bookWork)
+	other := r.newWorker("i-b2", "", now.UnixMilli(), bookWork)
 	first.put("ready", 1)
 	other.put("ready", 1)
-	r.putConfig(appRoute("non_idempotent", "/bobo563/", 1))
+	r.putConfig("non_idempotent", "/bobo563/", 1)
 	r.startHost()
 
 	var mu sync.Mutex
@@ -73,13 +71,13 @@
 	r.record("worker i-a1 (born %d) crashes", first.born)
 	first.stop()
 	time.Sleep(downTime)
-	again := r.newWorker("i-a1", appService, first.address, time.Now().UnixMilli(), bookWork)
-	again.onRun = func(req *http.Request) {
+	again := r.newWorker("i-a1", first.address, time.Now().UnixMilli(), bookWork)
+	again.onRun = func(id, _ string) {
 		mu.Lock()
 		defer mu.Unlock()
 		if !drainSeen.IsZero() && time.Since(drainSeen) > drainTime+300*time.Millisecond {
 			lateRuns++
-			r.record("worker i-a1 gets request %s %v after the store has acknowledged that it drains", req.Header.Get("X-Request-Id"), time.Since(drainSeen).Round(time.Millisecond))
+			r.record("worker i-a1 gets request %s %v after the store has acknowledged that it drains", id, time.Since(drainSeen).Round(time.Millisecond))
 		}
 	}
 	again.put("ready", 1)
@@ -104,28 +102,3 @@
 	r.record("bookings: sent %d, answered %d, refused %d, failed %d (%d when the worker left)", sent.Load(), answered.Load(), refused.Load(), failed.Load(), failed.Load()-before)
 	r.finish(late > 0, "%d requests reached the worker later than DrainMs + 300 ms after the acknowledgement", late)
 }
-
-// ran returns how often the worker has run a request.
-func (w *worker) ran(id string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.runs[id]
-}
-
-// book sends a request that may run once.
-func (r *rig) book(id string) (status int, whole bool) {
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.front+"/bobo563/lo7/2f", strings.NewReader("book "+id))
-	r.must(err)
-	req.Host = routeHost
-	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "4000", "X-Api-Key": apiKey} {
-		req.Header.Set(name, value)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, err == nil && string(body) == "done "+id
-}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,7 +23,7 @@
 const caseLimit = 115 * time.Second
 
 func main() {
-	cases := map[string]func(*rig){"parts": playParts, "silent": playSilent, "clock": playClock, "path": playPath, "revoke": playRevoke}
+	cases := map[string]func(*rig){"silent": playSilent, "clock": playClock, "path": playPath, "pause": playPause, "leaving": playLeaving}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-3 CASE ROOT RECORD")
 		os.Exit(exitNotRun)
--- a/review/stand-3/path.go
+++ b/review/stand-3/path.go
@@ -3,10 +3,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
-	"net/http"
 	"time"
 )
 
@@ -22,15 +19,15 @@
 
 // playPath sends requests for paths, and compares them with what the worker gets.
 func playPath(r *rig) {
-	w := r.newWorker("i-a1", appService, "", time.Now().UnixMilli(), time.Millisecond)
+	w := r.newWorker("i-a1", "", time.Now().UnixMilli(), time.Millisecond)
 	got := map[string]string{}
-	w.onRun = func(req *http.Request) {
+	w.onRun = func(id, target string) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		got[req.Header.Get("X-Request-Id")] = req.RequestURI
+		got[id] = target
 	}
 	w.put("ready", 1)
-	r.putConfig(appRoute("idempotent", "/wuhu344/", 2))
+	r.putConfig("idempotent", "/wuhu344/", 2)
 	r.startHost()
 	changed, ran := 0, 0
 	for n, pair := range pathPairs {
@@ -52,23 +49,3 @@
 	}
 	r.finish(changed > 0, "%d of %d requests that ran had another path at the worker than at the client", changed, ran)
 }
-
-// get sends a request byte for byte and returns the status of the answer; zero if there is none.
-func (r *rig) get(target, id string) int { return r.getWith(apiKey, target, id) }
-
-// getWith is get with a key.
-func (r *rig) getWith(key, target, id string) int {
-	conn, err := net.DialTimeout("tcp", r.front, time.Second)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
-	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: %s\r\nConnection: close\r\n\r\n", target, routeHost, id, key)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode
-}
--- a/review/stand-3/rig.go
+++ b/review/stand-3/rig.go
@@ -3,19 +3,14 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,15 +22,12 @@
 	routeHost   = "pule25.example"
 	apiKey      = "jnbanfqasnmgkcuyj8pj"
 	tenant      = "bozi300"
-	model       = "daka510000"
-	llmService  = "huvo11a"
 	appService  = "kafi81c"
-	memoryMB    = 134
-	descriptors = 4100
-	// memoryTokens is the memory of a worker.
-	memoryTokens = 99591
-	drainTime    = 2500 * time.Millisecond
-	contactTime  = 4 * time.Second
+	appSlots    = 6
+	drainTime   = 2500 * time.Millisecond
+	contactTime = 4 * time.Second
+	// heartbeat is the time between two writes of a worker's entry.
+	heartbeat = 1200 * time.Millisecond
 )
 
 // Exit codes of a case.
@@ -48,13 +40,13 @@
 // rig is one entry host of the deploy file between stand-ins, and the record of a case.
 type rig struct {
 	root, dir string
-	trouble   bool
-	store     *stand.Store
+	// trouble is set unless the case is played without the disruption.
+	trouble bool
+	store   *stand.Store
 	// storeAddress is the address of the store as the host knows it.
 	storeAddress string
-	front        string
-	ready        string
-	cmd          *exec.Cmd
+	front, ready string
+	command      *exec.Cmd
 	exited       chan struct{}
 
 	mu        sync.Mutex
@@ -124,9 +116,8 @@
 	return l.Addr().String()
 }
 
-// startHost names the first weights and starts the host with the command of the deploy file, and waits until it is ready.
+// startHost starts the host with the command of the deploy file, and waits until it is ready.
 func (r *rig) startHost() {
-	r.store.Put("op", "version/"+model, map[string]any{"Model": model, "Version": 1})
 	r.front, r.ready = r.freeAddress(), r.freeAddress()
 	settings := fmt.Sprintf(`name = "front-south-depot-1"
 ip = "127.0.0.1"
@@ -138,8 +129,8 @@
 peer = %q
 admin = %q
 level = "info"
-memory = %d
-descriptors = %d
+memory = 134
+descriptors = 4100
 link = 1000.0
 share = 0.4
 grace = 8
@@ -154,18 +145,18 @@
 "south-depot" = "south"
 "north-office" = "north"
 "south-hall" = "south"
-`, r.storeAddress, r.front, r.ready, r.freeAddress(), r.freeAddress(), memoryMB, descriptors, drainTime.Milliseconds())
+`, r.storeAddress, r.front, r.ready, r.freeAddress(), r.freeAddress(), drainTime.Milliseconds())
 	file := filepath.Join(r.dir, "settings.toml")
 	r.must(os.WriteFile(file, []byte(settings), 0o600))
 	log, err := os.Create(filepath.Join(r.dir, "host.log"))
 	r.must(err)
-	r.cmd = exec.Command(filepath.Join(r.root, "target/sesamed"), "serve")
-	r.cmd.Env = []string{"SESAMEHILL_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}
-	r.cmd.Stdout, r.cmd.Stderr = log, log
-	r.must(r.cmd.Start())
+	r.command = exec.Command(filepath.Join(r.root, "target/sesamed"), "serve")
+	r.command.Env = []string{name("settings variable") + "=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}
+	r.command.Stdout, r.command.Stderr = log, log
+	r.must(r.command.Start())
 	r.exited = make(chan struct{})
 	go func() {
-		_ = r.cmd.Wait()
+		_ = r.command.Wait() // the exit itself is the result
 		_ = log.Close()
 		close(r.exited)
 	}()
@@ -174,7 +165,7 @@
 			r.must(fmt.Errorf("the host is not ready after 15 s"))
 		}
 	}
-	r.record("the host is ready (process %d, front %s, resident memory %d MB)", r.cmd.Process.Pid, r.front, r.resident())
+	r.record("the host is ready (process %d, front %s)", r.command.Process.Pid, r.front)
 }
 
 // isReady reports whether the host answers the platform's question with 200.
@@ -188,211 +179,39 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// hasExited reports whether the process of the host has ended.
-func (r *rig) hasExited() bool {
-	select {
-	case <-r.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // killHost ends the process of the host.
 func (r *rig) killHost() {
-	if r.cmd == nil || r.cmd.Process == nil {
+	if r.exited == nil {
 		return
 	}
-	_ = r.cmd.Process.Signal(syscall.SIGKILL) // it may have exited
+	_ = r.command.Process.Signal(syscall.SIGKILL) // it may have exited
 	<-r.exited
 }
 
-var residentLine = regexp.MustCompile(`RssAnon:\s+(\d+) kB`)
-
-// resident returns the resident memory of the host in megabytes, without the pages of its program
-// file; zero if it has exited.
-func (r *rig) resident() int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
-	match := residentLine.FindSubmatch(status)
-	if err != nil || match == nil {
-		return 0
-	}
-	kb, _ := strconv.Atoi(string(match[1]))
-	return kb >> 10
-}
-
 // logLines copies the first lines of the host's log that hold a text to the record.
 func (r *rig) logLines(text string, limit int) {
 	data, err := os.ReadFile(filepath.Join(r.dir, "host.log"))
 	if err != nil {
 		return
 	}
-	for _, line := range regexp.MustCompile(`(?m)^.*`+regexp.QuoteMeta(text)+`.*$`).FindAllString(string(data), limit) {
-		r.record("log of the host: %.400s", line)
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, text) && limit > 0 {
+			limit--
+			r.record("log of the host: %.400s", strings.TrimSpace(line))
+		}
 	}
 }
 
-// putConfig writes the operator's configuration with the given routes.
-func (r *rig) putConfig(routes ...map[string]any) { r.putConfigVersion(7, []any{apiKey}, routes...) }
-
-// putConfigVersion writes a version of the operator's configuration with the given keys and routes.
-func (r *rig) putConfigVersion(version int, keys []any, routes ...map[string]any) {
+// putConfig writes the operator's configuration with one route to the plain service.
+func (r *rig) putConfig(kind, prefix string, attempts int) {
 	r.store.Put("op", "config", map[string]any{
-		"Version": version, "Routes": routes,
-		"Services": []any{
-			map[string]any{
-				"Name": llmService, "HealthPath": "/health", "MaxConns": 360, "Protocol": "h1", "Tls": false,
-				"Engine": map[string]any{
-					"Slots": 64, "KvCapacity": 99591, "KvTokenBytes": 163840, "LinkMbps": 260000.0, "Managed": true, "MaxInflight": 12,
-					"Models": []any{map[string]any{"Name": model}},
-				},
-			},
-			map[string]any{"Name": appService, "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false},
-		},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": keys, "Priority": 1}},
-	})
-}
-
-// streamRoute returns a route for streams that may be resumed.
-func streamRoute() map[string]any {
-	return map[string]any{
-		"Name": "r-stream", "Host": routeHost, "Prefix": "/puxa400/", "Kind": "streaming", "TimeoutMs": 15000, "GoalMs": 1000, "Priority": 2,
-		"Service": llmService, "Attempts": 2, "Public": false, "Sticky": true, "Resumable": true, "GapAimMs": 500,
-	}
-}
-
-// appRoute returns a route of the plain service.
-func appRoute(kind, prefix string, attempts int) map[string]any {
-	return map[string]any{
-		"Name": "r-" + kind, "Host": routeHost, "Prefix": prefix, "Kind": kind, "TimeoutMs": 4000, "GoalMs": 400, "Priority": 2,
-		"Service": appService, "Attempts": attempts, "Public": false, "Sticky": false, "Resumable": false,
-	}
-}
-
-// worker is a stand-in of a worker: it answers each request after some time.
-type worker struct {
-	rig      *rig
-	id       string
-	service  string
-	address  string
-	born     int64
-	work     time.Duration
-	slots    int
-	server   *http.Server
-	listener net.Listener
-	// onRun is called when a request begins to run.
-	onRun func(r *http.Request)
-
-	running atomic.Int64
-	mu      sync.Mutex
-	runs    map[string]int
-}
-
-// newWorker starts a worker on a free address, or on a given one.
-func (r *rig) newWorker(id, service, address string, born int64, work time.Duration) *worker {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", address)
-	r.must(err)
-	w := &worker{rig: r, id: id, service: service, address: l.Addr().String(), born: born, work: work, listener: l, runs: map[string]int{}, onRun: func(*http.Request) {}}
-	w.slots = 64
-	if service == appService {
-		w.slots = 6
-	}
-	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(l) }()
-	r.cleanups = append(r.cleanups, w.stop)
-	return w
-}
-
-// stop ends the worker as the end of its process does: all connections are closed.
-func (w *worker) stop() { _ = w.server.Close() }
-
-// put writes the worker's entry.
-func (w *worker) put(state string, sequence int) {
-	entry := map[string]any{
-		"Service": w.service, "Address": w.address, "Zone": "south-depot", "Version": "v1", "Slots": w.slots, "State": state, "ColdLeftMs": 0,
-		"Sequence": sequence, "born": w.born,
-	}
-	if w.service == llmService {
-		entry["Stage"], entry["Models"] = "colocated", []any{map[string]any{"Name": model, "Version": 1, "Adapters": []any{}}}
-	}
-	w.rig.store.Put("servers", w.id, entry)
-}
-
-func (w *worker) report(rw http.ResponseWriter) {
-	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(map[string]any{
-		"Stage": "colocated", "Models": []any{map[string]any{"Name": model, "Version": 1, "Adapters": []any{}}}, "Busy": false, "Sequence": 0,
-		"Waiting": 0, "Running": 0, "KvUsed": 0, "KvTotal": 99591, "Handles": 0, "born": w.born, "clock_ms": time.Now().UnixMilli(),
+		"Version": 7,
+		"Routes": []any{map[string]any{
+			"Name": "r-" + kind, "Host": routeHost, "Prefix": prefix, "Kind": kind, "TimeoutMs": 4000, "GoalMs": 400, "Priority": 2,
+			"Service": appService, "Attempts": attempts, "Public": false, "Sticky": false, "Resumable": false,
+		}},
+		"Services": []any{map[string]any{"Name": appService, "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false}},
+		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants":  []any{map[string]any{"Name": tenant, "ApiKeys": []any{apiKey}, "Priority": 1}},
 	})
 }
-
-// ServeHTTP answers as PROTOCOL.md says.
-func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	h := rw.Header()
-	if r.URL.Path == "/report" && w.service == llmService {
-		w.report(rw)
-		return
-	}
-	if r.URL.Path == "/health" {
-		h.Set("X-Instance-Id", w.id)
-		return
-	}
-	if t := r.Header.Get("X-Target-Instance"); t != "" && t != w.id {
-		h.Set("X-Instance-Id", w.id)
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if w.exceedsMemory(r) {
-		h.Set("X-Not-Executed", "1")
-		h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", w.running.Load(), w.slots))
-		rw.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("X-Request-Id")
-	w.mu.Lock()
-	w.runs[id]++
-	w.mu.Unlock()
-	w.running.Add(1)
-	defer w.running.Add(-1)
-	w.onRun(r)
-	select {
-	case <-time.After(w.work):
-	case <-r.Context().Done():
-		return
-	}
-	h.Set("X-Request-Id", id)
-	h.Set("X-Response-Seal", "seal-"+w.id)
-	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", w.running.Load(), w.slots))
-	if w.service == appService {
-		_, _ = fmt.Fprintf(rw, "done %s", id)
-		return
-	}
-	h.Set("Content-Type", "text/event-stream")
-	h.Set("X-Weight-Versions", "1")
-	for i := 1; i <= 4; i++ {
-		_, _ = fmt.Fprintf(rw, "id: %d\ndata: token\n\n", i)
-	}
-}
-
-// exceedsMemory reports whether a request is larger than the worker's memory.
-func (w *worker) exceedsMemory(r *http.Request) bool {
-	total := 0
-	for entry := range strings.SplitSeq(r.Header.Get("X-Prompt-Prefix"), ",") {
-		_, tokens, _ := strings.Cut(entry, ":")
-		n, _ := strconv.Atoi(tokens)
-		total += n
-	}
-	return w.service == llmService && total > memoryTokens
-}
-
-// ranCount returns how many requests the worker has run.
-func (w *worker) ranCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.runs)
-}
--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	heartbeat = 1200 * time.Millisecond
 	// leaveTime is how long after its report the worker that leaves serves on.
 	leaveTime = 5200 * time.Millisecond
 	// drainDelay is the time from the moment at which connections go silent to that report.
@@ -104,7 +103,7 @@
 // silent, or without that.
 func playSilent(r *rig) {
 	now := time.Now().UnixMilli()
-	leaving, other := r.newWorker("i-a1", appService, "", now, bookWork), r.newWorker("i-b2", appService, "", now, bookWork)
+	leaving, other := r.newWorker("i-a1", "", now, bookWork), r.newWorker("i-b2", "", now, bookWork)
 	states := map[*worker]string{leaving: "ready", other: "ready"}
 	var mu sync.Mutex
 	beat := func(w *worker, sequence int) {
@@ -123,7 +122,7 @@
 			beat(other, n)
 		}
 	}()
-	r.putConfig(appRoute("non_idempotent", "/bobo563/", 1))
+	r.putConfig("non_idempotent", "/bobo563/", 1)
 	k := r.newLink(r.store.Address())
 	r.storeAddress = k.Addr().String()
 	r.startHost()
