--- a/review/stand-3/rig.go
+++ b/review/stand-3/rig.go
@@ -45,9 +45,9 @@
 	store   *stand.Store
 	// storeAddress is the address of the store as the host knows it.
 	storeAddress string
+	// front and ready are the addresses of the first host.
 	front, ready string
-	command      *exec.Cmd
-	exited       chan struct{}
+	hosts        []*host
 
 	mu        sync.Mutex
 	file      *os.File
@@ -99,7 +99,9 @@
 
 // end ends all that the case has started, and the case.
 func (r *rig) end(code int) {
-	r.killHost()
+	for _, h := range r.hosts {
+		h.kill()
+	}
 	for _, f := range r.cleanups {
 		f()
 	}
@@ -116,10 +118,17 @@
 	return l.Addr().String()
 }
 
-// startHost starts the host with the command of the deploy file, and waits until it is ready.
-func (r *rig) startHost() {
-	r.front, r.ready = r.freeAddress(), r.freeAddress()
-	settings := fmt.Sprintf(`name = "front-south-depot-1"
+// host is a process of the deploy file.
+type host struct {
+	name, front, ready, log string
+	command                 *exec.Cmd
+	exited                  chan struct{}
+}
+
+// startHost starts a host with the command of the deploy file, and waits until it is ready.
+func (r *rig) startHost() *host {
+	h := &host{name: fmt.Sprintf("front-south-depot-%d", len(r.hosts)+1), front: r.freeAddress(), ready: r.freeAddress(), exited: make(chan struct{})}
+	settings := fmt.Sprintf(`name = %q
 ip = "127.0.0.1"
 zone = "south-depot"
 region = "south"
@@ -145,33 +154,38 @@
 "south-depot" = "south"
 "north-office" = "north"
 "south-hall" = "south"
-`, r.storeAddress, r.front, r.ready, r.freeAddress(), r.freeAddress(), drainTime.Milliseconds())
-	file := filepath.Join(r.dir, "settings.toml")
+`, h.name, r.storeAddress, h.front, h.ready, r.freeAddress(), r.freeAddress(), drainTime.Milliseconds())
+	file := filepath.Join(r.dir, h.name+".toml")
 	r.must(os.WriteFile(file, []byte(settings), 0o600))
-	log, err := os.Create(filepath.Join(r.dir, "host.log"))
+	h.log = filepath.Join(r.dir, h.name+".log")
+	log, err := os.Create(h.log)
 	r.must(err)
-	r.command = exec.Command(filepath.Join(r.root, "target/sesamed"), "serve")
-	r.command.Env = []string{name("settings variable") + "=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}
-	r.command.Stdout, r.command.Stderr = log, log
-	r.must(r.command.Start())
-	r.exited = make(chan struct{})
+	h.command = exec.Command(filepath.Join(r.root, "target/sesamed"), "serve")
+	h.command.Env = []string{name("settings variable") + "=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}
+	h.command.Stdout, h.command.Stderr = log, log
+	r.must(h.command.Start())
+	r.hosts = append(r.hosts, h)
+	if len(r.hosts) == 1 {
+		r.front, r.ready = h.front, h.ready
+	}
 	go func() {
-		_ = r.command.Wait() // the exit itself is the result
+		_ = h.command.Wait() // the exit itself is the result
 		_ = log.Close()
-		close(r.exited)
+		close(h.exited)
 	}()
-	for end := time.Now().Add(15 * time.Second); !r.isReady(); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(15 * time.Second); !h.isReady(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			r.must(fmt.Errorf("the host is not ready after 15 s"))
 		}
 	}
-	r.record("the host is ready (process %d, front %s)", r.command.Process.Pid, r.front)
+	r.record("host %s is ready (process %d, front %s)", h.name, h.command.Process.Pid, h.front)
+	return h
 }
 
 // isReady reports whether the host answers the platform's question with 200.
-func (r *rig) isReady() bool {
+func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get("http://" + r.ready + "/ready")
+	resp, err := client.Get("http://" + h.ready + "/ready")
 	if err != nil {
 		return false
 	}
@@ -179,25 +193,22 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// killHost ends the process of the host.
-func (r *rig) killHost() {
-	if r.exited == nil {
-		return
-	}
-	_ = r.command.Process.Signal(syscall.SIGKILL) // it may have exited
-	<-r.exited
+// kill ends the process of the host.
+func (h *host) kill() {
+	_ = h.command.Process.Signal(syscall.SIGKILL) // it may have exited
+	<-h.exited
 }
 
-// logLines copies the first lines of the host's log that hold a text to the record.
-func (r *rig) logLines(text string, limit int) {
-	data, err := os.ReadFile(filepath.Join(r.dir, "host.log"))
+// logLines copies the first lines of a host's log that hold a text to the record.
+func (r *rig) logLines(h *host, text string, limit int) {
+	data, err := os.ReadFile(h.log)
 	if err != nil {
 		return
 	}
 	for line := range strings.Lines(string(data)) {
 		if strings.Contains(line, text) && limit > 0 {
 			limit--
-			r.record("log of the host: %.400s", strings.TrimSpace(line))
+			r.record("log of %s: %.400s", h.name, strings.TrimSpace(line))
 		}
 	}
 }
--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -192,7 +192,7 @@
 	time.Sleep(2 * time.Second)
 	close(stopBooking)
 	group.Wait()
-	r.logLines("platform table", 6)
+	r.logLines(r.hosts[0], "platform table", 6)
 	mu.Lock()
 	defer mu.Unlock()
 	r.record("bookings: sent %d, answered %d, refused %d, failed %d; run by the worker that left and not answered: %d", sent.Load(), answered.Load(), refused.Load(), failed.Load(), lost.Load()-before)
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -25,10 +25,8 @@
 
 	mu   sync.Mutex
 	runs map[string]int
-	// onArrival is called when a request arrives; it returns for how many seconds the worker wants
-	// none, with a refusal, or zero. onRun is called when a request begins to run.
-	onArrival func(id string) int
-	onRun     func(id, target string)
+	// onRun is called when a request begins to run.
+	onRun func(id, target string)
 	// leaving is set once the worker says in its answers that it leaves.
 	leaving atomic.Bool
 }
@@ -42,7 +40,7 @@
 	r.must(err)
 	w := &worker{
 		rig: r, id: id, address: l.Addr().String(), born: born, work: work, runs: map[string]int{},
-		onArrival: func(string) int { return 0 }, onRun: func(_, _ string) {},
+		onRun: func(_, _ string) {},
 	}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }() // it returns an error after stop
@@ -79,12 +77,6 @@
 	if w.leaving.Load() {
 		h.Set(name("leaving"), "1")
 	}
-	if seconds := w.onArrival(id); seconds > 0 {
-		h.Set(name("not executed"), "1")
-		h.Set("Retry-After", fmt.Sprint(seconds))
-		rw.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	w.mu.Lock()
 	w.runs[id]++
 	w.mu.Unlock()
