--- a/review/stand-3/caller.go
+++ b/review/stand-3/caller.go
@@ -38,12 +38,6 @@
 
 // book sends a request that may run once, on a new connection.
 func (r *rig) book(id string) (status int, whole bool) {
-	status, whole, _ = r.bookAt(id)
-	return status, whole
-}
-
-// bookAt is book; it also reports whether the answer says that its worker leaves.
-func (r *rig) bookAt(id string) (status int, whole, leaving bool) {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	req, err := http.NewRequest(http.MethodPost, "http://"+r.front+"/bobo563/lo7/2f", strings.NewReader("book "+id))
 	r.must(err)
@@ -53,9 +47,9 @@
 	req.Header.Set(name("key"), apiKey)
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, false, false
+		return 0, false
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, err == nil && string(body) == "done "+id, resp.Header.Get(name("leaving")) != ""
+	return resp.StatusCode, err == nil && string(body) == "done "+id
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,7 +23,7 @@
 const caseLimit = 115 * time.Second
 
 func main() {
-	cases := map[string]func(*rig){"taken": playTaken, "silent": playSilent, "clock": playClock, "path": playPath, "leaving": playLeaving}
+	cases := map[string]func(*rig){"part": playPart, "taken": playTaken, "silent": playSilent, "clock": playClock, "path": playPath}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-3 CASE ROOT RECORD")
 		os.Exit(exitNotRun)
--- a/review/stand-3/taken.go
+++ b/review/stand-3/taken.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -22,10 +21,12 @@
 	// streamEvents is the number of events of a stream, and eventGap the time between two.
 	streamEvents = 40
 	eventGap     = 25 * time.Millisecond
-	// takenClients is the number of streams that begin at once. The host is killed once minBegun of
-	// those that the newer software runs have brought an event.
-	takenClients = 24
-	minBegun     = 8
+	// takenHosts is the number of hosts, of which the first lostHosts are killed. At each of these
+	// takenClients streams begin.
+	takenHosts   = 6
+	lostHosts    = 3
+	takenClients = 20
+	rounds       = 6
 	// leaveAfter is how long after its request a client leaves the host at which it takes its stream up.
 	leaveAfter = 50 * time.Millisecond
 )
@@ -145,12 +146,8 @@
 	return resp.StatusCode
 }
 
-// playTaken has clients begin streams at one host and take them up at two others, where they leave
-// once before an answer and come again. With the disruption the first host is killed as it has brought
-// the first events; without it the clients leave it.
-func playTaken(r *rig) {
-	r.newEngine("i-a1", "v1")
-	r.newEngine("i-b2", "v1")
+// putStreamConfig writes a configuration with one route of streams to engines.
+func (r *rig) putStreamConfig() {
 	r.store.Put("op", "version/"+model, map[string]any{"Model": model, "Version": 1})
 	r.store.Put("op", "config", map[string]any{
 		"Version": 7,
@@ -168,7 +165,16 @@
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": []any{apiKey}, "Priority": 1}},
 	})
-	for range 3 {
+}
+
+// playTaken has clients begin streams at some hosts and take them up at the others, where they leave
+// once before an answer and come again. With the disruption the first hosts are killed as they have
+// brought the first events; without it the clients leave them.
+func playTaken(r *rig) {
+	r.newEngine("i-a1", "v1")
+	r.newEngine("i-b2", "v1")
+	r.putStreamConfig()
+	for range takenHosts {
 		r.startHost()
 	}
 	time.Sleep(2 * contactTime)
@@ -177,66 +183,98 @@
 	r.record("two workers of another software version are listed")
 	time.Sleep(contactTime + time.Second)
 
+	var streams []*stream
+	for round := range rounds {
+		streams = append(streams, r.playRound(round)...)
+	}
+	mixed, newer, taken, whole := 0, 0, 0, 0
+	for _, s := range streams {
+		if len(s.software) > 0 && s.software[0] == "v2" && s.tries > 1 {
+			newer++
+		}
+		if s.tries > 1 {
+			taken++
+		}
+		if s.last == streamEvents {
+			whole++
+		}
+		if s.mixed() {
+			mixed++
+			r.record("stream %d: tries %d, events %v", s.n, s.tries, s.software)
+		}
+	}
+	for _, h := range r.hosts[lostHosts:] {
+		r.logLines(h, "no record, so the base", 2)
+	}
+	r.finish(
+		mixed > 2, "%d streams hold events of two software versions (2 are allowed), of %d that were taken up, %d of which the newer version began; %d of %d came to their end",
+		mixed, taken, newer, whole, len(streams),
+	)
+}
+
+// playRound has clients begin streams at the first hosts, each of which is killed as it has brought the
+// first event of the newer software, and started again at the end.
+func (r *rig) playRound(round int) []*stream {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	var begun atomic.Int64
-	lost := make(chan struct{})
-	var once sync.Once
-	streams := make([]*stream, takenClients)
+	losing, others := r.hosts[:lostHosts], r.hosts[lostHosts:]
+	streams := make([]*stream, lostHosts*takenClients)
+	lost, once := make([]chan struct{}, lostHosts), make([]sync.Once, lostHosts)
+	for i := range lost {
+		lost[i] = make(chan struct{})
+	}
 	var group sync.WaitGroup
 	for n := range streams {
-		s := &stream{n: n + 1}
+		s := &stream{n: round*len(streams) + n + 1}
 		streams[n] = s
+		h := n % lostHosts
 		group.Go(func() {
 			first, leave := context.WithCancel(ctx)
 			defer leave()
-			s.try(first, r.hosts[0], func() {
-				if s.last == 1 && s.software[0] == "v2" && begun.Add(1) == minBegun {
-					once.Do(func() {
+			go func() {
+				<-lost[h]
+				time.Sleep(eventGap)
+				leave()
+			}()
+			s.try(first, losing[h], func() {
+				if s.software[0] == "v2" {
+					once[h].Do(func() {
 						if r.trouble {
-							_ = r.hosts[0].command.Process.Kill()
+							_ = losing[h].command.Process.Kill() // it is running
 						}
-						close(lost)
+						close(lost[h])
 					})
 				}
-				select {
-				case <-lost:
-					leave()
-				default:
-				}
 			})
-			<-lost
-			if s.last == 0 || s.last >= streamEvents {
-				return
-			}
-			time.Sleep(20 * time.Millisecond)
-			short, cancel := context.WithTimeout(ctx, leaveAfter)
-			defer cancel()
-			s.try(short, r.hosts[1+s.n%2], func() {})
-			for try := 0; try < 3 && s.last < streamEvents; try++ {
-				time.Sleep(300 * time.Millisecond)
-				patient, end := context.WithTimeout(ctx, 5*time.Second)
-				s.try(patient, r.hosts[1+(s.n+try+1)%2], func() {})
-				end()
+			<-lost[h]
+			if s.last > 0 && s.last < streamEvents {
+				s.takeUp(ctx, others, n)
 			}
 		})
 	}
 	group.Wait()
-	mixed, taken, whole := 0, 0, 0
-	for _, s := range streams {
-		if s.tries > 1 {
-			taken++
-		}
-		if s.last == streamEvents {
-			whole++
-		}
-		if s.mixed() {
-			mixed++
-			r.record("stream %d: tries %d, events %v", s.n, s.tries, s.software)
+	r.record("round %d has ended", round+1)
+	for _, h := range losing {
+		if r.trouble {
+			<-h.exited
+			r.startProcess(h)
 		}
 	}
-	for _, h := range r.hosts[1:] {
-		r.logLines(h, "stream resumed by its caller", 8)
+	time.Sleep(contactTime)
+	return streams
+}
+
+// takeUp takes a stream up at some hosts: at the first the client leaves before it has an answer, and
+// comes again.
+func (s *stream) takeUp(ctx context.Context, hosts []*host, n int) {
+	time.Sleep(20 * time.Millisecond)
+	short, cancel := context.WithTimeout(ctx, leaveAfter)
+	defer cancel()
+	s.try(short, hosts[n%len(hosts)], func() {})
+	for try := 1; try < 4 && s.last < streamEvents; try++ {
+		time.Sleep(300 * time.Millisecond)
+		patient, end := context.WithTimeout(ctx, 5*time.Second)
+		s.try(patient, hosts[(n+try)%len(hosts)], func() {})
+		end()
 	}
-	r.finish(mixed > 2, "%d streams hold events of two software versions (2 are allowed), of %d, of which %d were taken up and %d came to their end", mixed, len(streams), taken, whole)
 }
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -27,8 +27,6 @@
 	runs map[string]int
 	// onRun is called when a request begins to run.
 	onRun func(id, target string)
-	// leaving is set once the worker says in its answers that it leaves.
-	leaving atomic.Bool
 }
 
 // newWorker starts a worker at a free address, or at a given one.
@@ -74,9 +72,6 @@
 	_, _ = io.Copy(io.Discard, r.Body) // a caller that has left is noticed below
 	id := r.Header.Get(name("request id"))
 	h.Set(name("request id"), id)
-	if w.leaving.Load() {
-		h.Set(name("leaving"), "1")
-	}
 	w.mu.Lock()
 	w.runs[id]++
 	w.mu.Unlock()
