--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -1,6 +1,6 @@
-//go:build review
+//go:build review2
 
-// Command stand-3 plays the cases of the third review. Each case starts one entry host with the
+// Command stand-3 plays the cases 8 and 9 of the second review. Each case starts one entry host with the
 // command of the deploy file, on loopback addresses, between stand-ins of the platform's store, of
 // workers and of clients.
 //
@@ -23,7 +23,7 @@
 const caseLimit = 115 * time.Second
 
 func main() {
-	cases := map[string]func(*rig){"part": playPart, "taken": playTaken, "silent": playSilent, "clock": playClock, "path": playPath}
+	cases := map[string]func(*rig){"part": playPart, "silent": playSilent}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-3 CASE ROOT RECORD")
 		os.Exit(exitNotRun)
--- a/review/stand-3/names.go
+++ b/review/stand-3/names.go
@@ -1,4 +1,4 @@
-//go:build review
+//go:build review2
 
 package main
 
--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -1,4 +1,4 @@
-//go:build review
+//go:build review2
 
 package main
 
@@ -17,6 +17,9 @@
 	leaveTime = 5200 * time.Millisecond
 	// drainDelay is the time from the moment at which connections go silent to that report.
 	drainDelay = 400 * time.Millisecond
+	// A booking is sent every bookEvery, and runs for bookWork.
+	bookEvery = 17 * time.Millisecond
+	bookWork  = 150 * time.Millisecond
 )
 
 // link passes connections on to an address, until it makes those that are open silent.
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -1,4 +1,4 @@
-//go:build review
+//go:build review2
 
 package main
 
@@ -25,8 +25,6 @@
 
 	mu   sync.Mutex
 	runs map[string]int
-	// onRun is called when a request begins to run.
-	onRun func(id, target string)
 }
 
 // newWorker starts a worker at a free address, or at a given one.
@@ -38,7 +36,6 @@
 	r.must(err)
 	w := &worker{
 		rig: r, id: id, address: l.Addr().String(), born: born, work: work, runs: map[string]int{},
-		onRun: func(_, _ string) {},
 	}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }() // it returns an error after stop
@@ -77,7 +74,6 @@
 	w.mu.Unlock()
 	w.running.Add(1)
 	defer w.running.Add(-1)
-	w.onRun(id, r.RequestURI)
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
