Replace the verdict on a part of prompts by one that explains its crashes

Cause: after three crashes the part at fault and the session's own have the same crashes, and the deeper one was quarantined. Crashes that it explained did not count again, and a part that was in quarantine went first, so that the part at fault began at zero with each session. Which verdict a host had also depended on the order in which records arrived.

Change: verdicts are found from all records in the order of the times of the crashes. A part that explains all crashes in question stays a suspect with one trial at a time, also while another one is quarantined for them. It replaces that one with a crash of a trial, or with as many further crashes as another quarantine takes. A verdict whose crashes others explain is released. A crash now says whether it ended a trial; older builds ignore the field. The log line of a verdict has the number of crashes that others explain.

TestQuarantineStays asserted that a host which knew neither part comes to another verdict than one that knew them. That is the dependence on order; it now asserts that both find the same one, which is stricter. Its other assertions are unchanged.

--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -24,6 +24,19 @@
 // whose targets have not begun to answer are cancelled. The quarantine lasts for 10
 // minutes after the last crash; then one host starts one trial.
 //
+// The first crashes may fit several parts, such as one that crashes targets and one of the
+// session in which it was first sent. The part that is deepest in the prompt is then
+// quarantined, and the others are tried by one request at a time. Evidence replaces that verdict
+// in this order:
+//
+//  1. A target survives the part: its crashes until then do not count.
+//  2. A trial of another part crashes that explains all crashes of the one in quarantine.
+//  3. Another part has three further crashes, or five if it was answered before. The part in
+//     quarantine is released if it has fewer than that which the other part does not explain.
+//
+// Verdicts are found from all records anew, in the order of the times of their crashes, so that
+// hosts with the same records have the same verdicts.
+//
 // History is the state of a fingerprint. Decide decides from it whether a request
 // may run, and judge which parts may not, without I/O and without a clock. Hosts
 // exchange histories as records. Merging them is independent of order and
--- a/internal/crash/history.go
+++ b/internal/crash/history.go
@@ -83,6 +83,9 @@
 	Forgiven bool
 	// Late reports that the target had begun to answer the attempt.
 	Late bool
+	// Trial reports that the attempt was the trial of the part, so that no other request with
+	// the part is known to have been in flight.
+	Trial bool
 }
 
 // target returns the hash of the target that crashed.
@@ -236,6 +239,7 @@
 			p := &out.Crashes[n-1]
 			p.Forgiven = p.Forgiven || d.Forgiven
 			p.Late = p.Late || d.Late
+			p.Trial = p.Trial || d.Trial
 			if d.At.Before(p.At) {
 				p.At = d.At
 			}
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -1,7 +1,6 @@
 package crash
 
 import (
-	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -49,8 +48,9 @@
 	Counted, Required, Depth int
 	// Ages are the times since all crashes that are recorded.
 	Ages []time.Duration
-	// Others is the number of other parts in quarantine, whose crashes count for them alone.
-	Others int
+	// Others is the number of other parts in quarantine, and Explained the number of crashes
+	// of this part that are crashes of theirs as well.
+	Others, Explained int
 	// SinceSurvived is the time since a target has answered a request with the part; zero
 	// if none is known to have.
 	SinceSurvived time.Duration
@@ -63,87 +63,6 @@
 	last, survived time.Time
 }
 
-// judge finds the parts that cause crashes. A part is quarantined if it was in a request
-// that was about to start at each of several crashes, and no target has survived it
-// since the first of them. Crashes that a quarantined part explains do not count for
-// other parts: those were in flight beside it. A part in quarantine stays there
-// until a target survives it or its crashes expire: their number varies with the reports of
-// them that a host has.
-func judge(parts map[Fingerprint]History, previous verdicts, now time.Time) verdicts {
-	v := verdicts{quarantined: map[Fingerprint]evidence{}, suspected: map[Fingerprint]bool{}}
-	var explained []Crash
-	candidates := map[Fingerprint]History{}
-	for p, h := range parts {
-		if n, _ := h.partCrashes(nil, now); n >= previous.required(p, h) {
-			candidates[p] = h
-		}
-	}
-	for len(v.quarantined) < maxQuarantinedParts {
-		p, ok := strongest(candidates, previous, v, explained, now)
-		if !ok {
-			break
-		}
-		n, last := parts[p].partCrashes(explained, now)
-		v.quarantined[p] = evidence{crashes: n, last: last, survived: parts[p].Survived}
-		explained = append(explained, parts[p].Crashes...)
-	}
-	for p, h := range parts {
-		if _, ok := v.quarantined[p]; ok || !h.Survived.IsZero() {
-			continue
-		}
-		if n, _ := h.partCrashes(explained, now); n > 0 {
-			v.suspected[p] = true
-		}
-	}
-	return v
-}
-
-// strongest returns the part with the most evidence among those with enough of it.
-// Parts that were quarantined before go first, then those that no target is known to have
-// survived, then those with more crashes, then those deeper in the prompt, which fewer
-// requests share.
-func strongest(parts map[Fingerprint]History, previous, v verdicts, explained []Crash, now time.Time) (Fingerprint, bool) {
-	var best Fingerprint
-	bestCrashes, found := 0, false
-	for p, h := range parts {
-		n, _ := h.partCrashes(explained, now)
-		if _, done := v.quarantined[p]; done || n < previous.required(p, h) {
-			continue
-		}
-		b := parts[best]
-		rank := cmp.Or(
-			previous.compare(p, best), cmp.Compare(h.quarantineAt(), b.quarantineAt()), cmp.Compare(bestCrashes, n),
-			cmp.Compare(b.Depth, h.Depth), bytes.Compare(p[:], best[:]),
-		)
-		if !found || rank < 0 {
-			best, bestCrashes, found = p, n, true
-		}
-	}
-	return best, found
-}
-
-// required returns the number of crashes that quarantine a part, or that keep it there if no
-// target has survived it since.
-func (v verdicts) required(p Fingerprint, h History) int {
-	if before, ok := v.quarantined[p]; ok && before.survived.Equal(h.Survived) {
-		return 1
-	}
-	return h.quarantineAt()
-}
-
-// compare orders parts that were quarantined before others.
-func (v verdicts) compare(a, b Fingerprint) int {
-	_, first := v.quarantined[a]
-	_, second := v.quarantined[b]
-	switch {
-	case first == second:
-		return 0
-	case first:
-		return -1
-	}
-	return 1
-}
-
 // quarantineAt returns the number of crashes that quarantine the part.
 func (h History) quarantineAt() int {
 	if h.Survived.IsZero() {
@@ -174,24 +93,39 @@
 }
 
 // partCrashes returns the number of crashes that count for a part, and the time of the
-// last of them: those since a target has survived it that no other part explains.
-func (h History) partCrashes(explained []Crash, now time.Time) (n int, last time.Time) {
-	if !h.lastCrash().After(h.Survived) {
+// last of them.
+func (h History) partCrashes(now time.Time) (n int, last time.Time) {
+	times := spaced(h.counting(now))
+	if len(times) == 0 {
 		return 0, time.Time{}
 	}
-	at := make([]time.Time, 0, maxStoredCrashes)
+	return len(times), times[len(times)-1]
+}
+
+// counting returns the crashes since a target has survived the part that have not expired, one
+// report of each, by time.
+func (h History) counting(now time.Time) []Crash {
+	if !h.lastCrash().After(h.Survived) {
+		return nil
+	}
+	out := make([]Crash, 0, len(h.Crashes))
 	for _, c := range h.Crashes {
-		counts := c.At.After(h.Survived) && now.Sub(c.At) < partRetention
-		if counts && !h.isDuplicate(c) && !slices.ContainsFunc(explained, c.isSameCrash) {
-			at = append(at, c.At)
+		if c.At.After(h.Survived) && now.Sub(c.At) < partRetention && !h.isDuplicate(c) {
+			out = append(out, c)
 		}
 	}
-	slices.SortFunc(at, time.Time.Compare)
-	for _, t := range at {
-		if n == 0 || t.Sub(last) >= crashSpacing {
-			n++
-			last = t
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID)) })
+	return out
+}
+
+// spaced returns the times of the crashes that are far enough apart to count each, from
+// crashes by time.
+func spaced(crashes []Crash) []time.Time {
+	var out []time.Time
+	for _, c := range crashes {
+		if len(out) == 0 || c.At.Sub(out[len(out)-1]) >= crashSpacing {
+			out = append(out, c.At)
 		}
 	}
-	return n, last
+	return out
 }
--- a/internal/crash/random_test.go
+++ b/internal/crash/random_test.go
@@ -70,6 +70,13 @@
 	upAt    []time.Duration
 	running map[string]*randomAttempt
 
+	// fatal are the parts that crash each engine that begins to answer a request with one.
+	fatal map[Fingerprint]bool
+	// onArrival and onFatalCrash are called when an attempt reaches an engine, and when a
+	// part crashes one.
+	onArrival    func(*randomAttempt)
+	onFatalCrash func(Fingerprint)
+
 	requests, crashes, attemptsLost int
 	quarantinedParts                map[Fingerprint]bool
 	refusedParts, refusedRequests   int
@@ -79,6 +86,7 @@
 	f := &randomFleet{
 		random: rand.New(rand.NewPCG(seed, 1)), upAt: make([]time.Duration, randomEngines),
 		running: map[string]*randomAttempt{}, quarantinedParts: map[Fingerprint]bool{},
+		fatal: map[Fingerprint]bool{}, onArrival: func(*randomAttempt) {}, onFatalCrash: func(Fingerprint) {},
 	}
 	f.zipf = rand.NewZipf(f.random, 1.2, 4, randomSubjects-1)
 	for range randomHosts {
@@ -137,15 +145,23 @@
 	}
 	id := a.id
 	f.running[id] = a
+	f.onArrival(a)
 	f.after(50*time.Millisecond+f.exponential(300*time.Millisecond), func() { f.answer(id, tries) })
 }
 
 func (f *randomFleet) answer(id string, tries int) {
-	if a, ok := f.running[id]; ok {
-		f.hosts[a.host].Answered(id, f.time())
-		a.answered = true
-		f.after(f.exponential(time.Second), func() { f.end(id) })
+	a, ok := f.running[id]
+	if !ok {
+		return
+	}
+	if i := slices.IndexFunc(a.parts, func(p Fingerprint) bool { return f.fatal[p] }); i >= 0 {
+		f.onFatalCrash(a.parts[i])
+		f.crashEngine(a.engine)
+		return
 	}
+	f.hosts[a.host].Answered(id, f.time())
+	a.answered = true
+	f.after(f.exponential(time.Second), func() { f.end(id) })
 }
 
 func (f *randomFleet) end(id string) {
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -22,6 +22,8 @@
 	Ended    bool     `cbor:"e,omitempty"`
 	// Late says which crashes came late; empty if none did.
 	Late []bool `cbor:"l,omitempty"`
+	// Trials says which crashes ended a trial of the part; empty if none did.
+	Trials []bool `cbor:"c,omitempty"`
 	// Depth is the position of a part, and Survived how long ago a target last answered
 	// a request with it, plus 1; zero if none did.
 	Depth    int   `cbor:"k,omitempty"`
@@ -41,7 +43,8 @@
 	switch {
 	case len(r.IDs) == 0 || len(r.IDs) > maxStoredCrashes:
 		return &RecordError{Problem: fmt.Sprintf("it has %d crashes, want 1 to %d", len(r.IDs), maxStoredCrashes)}
-	case len(r.Ages) != len(r.IDs) || len(r.Forgiven) != len(r.IDs) || len(r.Late) != 0 && len(r.Late) != len(r.IDs):
+	case len(r.Ages) != len(r.IDs) || len(r.Forgiven) != len(r.IDs) || len(r.Late) != 0 && len(r.Late) != len(r.IDs) ||
+		len(r.Trials) != 0 && len(r.Trials) != len(r.IDs):
 		return &RecordError{Problem: "its lists differ in length"}
 	case !slices.IsSorted(r.IDs) || len(slices.Compact(slices.Clone(r.IDs))) != len(r.IDs):
 		return &RecordError{Problem: "its crashes are not sorted by ID without duplicates"}
@@ -76,6 +79,11 @@
 			r.Late = append(r.Late, c.Late)
 		}
 	}
+	if slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.Trial }) {
+		for _, c := range h.Crashes {
+			r.Trials = append(r.Trials, c.Trial)
+		}
+	}
 	return r
 }
 
@@ -93,7 +101,10 @@
 		h.Trial = Trial{ID: r.Trial, Target: r.Target, At: at(r.Age), Ended: r.Ended}
 	}
 	for i, id := range r.IDs {
-		h.Crashes = append(h.Crashes, Crash{ID: id, At: at(r.Ages[i]), Forgiven: r.Forgiven[i], Late: len(r.Late) > 0 && r.Late[i]})
+		h.Crashes = append(h.Crashes, Crash{
+			ID: id, At: at(r.Ages[i]), Forgiven: r.Forgiven[i],
+			Late: len(r.Late) > 0 && r.Late[i], Trial: len(r.Trials) > 0 && r.Trials[i],
+		})
 	}
 	return h
 }
--- a/internal/crash/trackerparts.go
+++ b/internal/crash/trackerparts.go
@@ -59,7 +59,7 @@
 		}
 		crashed := r == Crashed && !f.answered
 		if crashed {
-			h = t.withCrash(p, h, i+1, Crash{ID: id, At: now})
+			h = t.withCrash(p, h, i+1, Crash{ID: id, At: now, Trial: trial})
 		}
 		if trial || crashed {
 			t.storePart(p, h, now)
@@ -114,7 +114,7 @@
 	t.expire(now)
 	for len(t.parts) > maxSuspectParts {
 		t.forget(weakest(t.parts, func(h History) int {
-			n, _ := h.partCrashes(nil, now)
+			n, _ := h.partCrashes(now)
 			return n
 		}))
 	}
@@ -155,11 +155,16 @@
 func (t *Tracker) partVerdict(p Fingerprint, now time.Time) PartVerdict {
 	h := t.parts[p]
 	_, quarantined := t.verdicts.quarantined[p]
-	counted, _ := h.partCrashes(nil, now)
+	counted, _ := h.partCrashes(now)
 	v := PartVerdict{Part: p, Quarantined: quarantined, Counted: counted, Ages: h.crashAges(now), Required: h.quarantineAt(), Depth: h.Depth, Others: len(t.verdicts.quarantined)}
 	if quarantined {
 		v.Others--
 	}
+	for _, c := range h.counting(now) {
+		if t.isExplained(c, p) {
+			v.Explained++
+		}
+	}
 	if !h.Survived.IsZero() {
 		v.SinceSurvived = now.Sub(h.Survived)
 	}
@@ -193,11 +198,16 @@
 		return h
 	}
 	t.judge(now)
+	h.Crashes = slices.DeleteFunc(slices.Clone(h.Crashes), func(c Crash) bool { return t.isExplained(c, Fingerprint{}) })
+	return h
+}
+
+// isExplained reports whether a quarantined part other than one has a report of the crash.
+func (t *Tracker) isExplained(c Crash, except Fingerprint) bool {
 	for p := range t.verdicts.quarantined {
-		crashes := t.parts[p].Crashes
-		h.Crashes = slices.DeleteFunc(slices.Clone(h.Crashes), func(c Crash) bool {
-			return slices.ContainsFunc(crashes, c.isSameCrash)
-		})
+		if p != except && t.parts[p].explains(c) {
+			return true
+		}
 	}
-	return h
+	return false
 }
--- a/internal/crash/verdict_test.go
+++ b/internal/crash/verdict_test.go
@@ -33,9 +33,9 @@
 	g.Expect(v.quarantined).To(HaveKey(cause))
 
 	parts[beside] = History{Depth: 2, Crashes: crashesAt(start, 1, 0, s, 2*s, 3*s, 4*s)}
-	g.Expect(judge(parts, verdicts{}, now).quarantined).To(HaveKey(beside), "what a host that knew neither would find")
+	g.Expect(judge(parts, verdicts{}, now).quarantined).To(And(HaveLen(1), HaveKey(cause)), "a host that knew neither finds the same")
 	v = judge(parts, v, now)
-	g.Expect(v.quarantined).To(HaveKey(cause))
+	g.Expect(v.quarantined).To(And(HaveLen(1), HaveKey(cause)))
 	g.Expect(v.quarantined).NotTo(HaveKey(beside), "two crashes that the other part does not explain")
 
 	parts[cause] = History{Depth: 3, Crashes: crashesAt(start, 1, 0, s/10, s/5)}
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -357,7 +357,7 @@
 	}
 	h.log.Info(
 		message, zap.Stringer("print", v.Part), zap.Int("crashes", v.Counted), zap.Durations("ages", v.Ages), zap.Int("required", v.Required),
-		zap.Int("depth", v.Depth), zap.Int("others", v.Others), zap.Int64("sincesurvived", v.SinceSurvived.Milliseconds()),
+		zap.Int("depth", v.Depth), zap.Int("others", v.Others), zap.Int("explained", v.Explained), zap.Int64("sincesurvived", v.SinceSurvived.Milliseconds()),
 	)
 }
 
