Send a survival of a part that only this host has seen

Callers would see sound requests refused with 503 for 10 minutes at the other hosts.

Cause: a host that has seen a target answer requests with a part adds that to records of the part which it receives, but did not count it as a change of its own. Followers send only their own changes to their hub, so that the others kept the part in quarantine.

Change: such a host records a change, once.

TestSurvivalKnownToOneHostIsSent fails before: no change is reported, and no record sent.

--- a/internal/crash/trackerparts.go
+++ b/internal/crash/trackerparts.go
@@ -95,13 +95,19 @@
 	}
 }
 
-// importPart merges the record of a part from another host.
+// importPart merges the record of a part from another host. If this host knows of a later
+// survival, the others have to learn of it.
 func (t *Tracker) importPart(r Record, now time.Time) {
-	received := r.history(now)
-	if own, ok := t.survived.Peek(r.Print); ok && own.After(received.Survived) {
-		received.Survived = own
+	merged := Merge(t.parts[r.Print], r.history(now))
+	own, ok := t.survived.Peek(r.Print)
+	isNews := ok && own.After(merged.Survived)
+	if isNews {
+		merged.Survived = own
+	}
+	t.storePart(r.Print, merged.trimPart(), now)
+	if isNews {
+		t.recordOwnChange(r.Print, now)
 	}
-	t.storePart(r.Print, Merge(t.parts[r.Print], received).trimPart(), now)
 }
 
 // storePart stores the history of a part, and evicts the weakest above the limit.
--- a/internal/crash/verdict_test.go
+++ b/internal/crash/verdict_test.go
@@ -58,3 +58,29 @@
 	v = judge(parts, v, start.Add(partRetention+3*time.Second))
 	g.Expect(v.quarantined).To(BeEmpty())
 }
+
+// Guards against a sound part that stays in quarantine because only one host has seen a target
+// survive it, and does not send what it knows to the others.
+func TestSurvivalKnownToOneHostIsSent(t *testing.T) {
+	g := NewWithT(t)
+	changes := 0
+	a, b := New(), New(WithOnChange(func() { changes++ }))
+	part := NewPartFingerprint("m", "own")
+	g.Expect(b.Begin(Fingerprint{1}, "ok", "t0", start, part)).To(BeTrue())
+	b.Answered("ok", start)
+	now := start
+	for _, target := range []string{"t1", "t2", "t3"} {
+		now = now.Add(time.Second)
+		g.Expect(a.Begin(requestPrint(target), target, target, now, part)).To(BeTrue())
+		a.End(target, Crashed, now)
+	}
+	g.Expect(a.Admit(Fingerprint{3}, now, part)).To(BeAssignableToTypeOf(Refuse{}))
+	before := changes
+	g.Expect(b.Import(a.Export(12, now), now)).To(Succeed())
+	g.Expect(changes).To(BeNumerically(">", before), "the host reports a change")
+	g.Expect(a.Import(b.ExportOwn(12, time.Minute, now), now)).To(Succeed())
+	g.Expect(a.Admit(Fingerprint{3}, now, part)).To(Equal(Run{}))
+	before = changes
+	g.Expect(b.Import(a.Export(12, now), now)).To(Succeed())
+	g.Expect(changes).To(Equal(before), "a record that has the survival is no change")
+}
