Let streams go on only at targets whose start connections confirm

Callers saw: streams of services without engines hold events of two software versions (ORDER), over tries of a caller or in one answer.

Cause: a fact about one start of a target is kept under a name that outlives the start. Only engines state their start on a connection. For other targets the entry that the host had read last counted for whatever process had the address.

Change: a process ends all its connections. While connections of a host to such a target overlap without a gap, it is the same start, and an entry that has not changed 2 s after the first of them is that of this start. Streams go on only at such a target, and wait for it otherwise; new ones do not go to a target whose connections broke until the list would show another start, or begin at a version of their own if the list cannot be read. While a service has such streams, a host keeps an idle connection to each of its targets, renewed every 3 s. A stream that ends with its connection is whole only if the target is still confirmed. Services with engines are as before. Log line "target may have started again".

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,11 +124,15 @@
 	graceUntil time.Duration
 	departed   departures
 	ended      endedStarts
+	// links holds the connections to targets that do not state their start, by ID, and
+	// listReadAt is the boot time at which the list was known to be current.
+	links      map[string]*link
+	listReadAt time.Duration
 }
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, coldness: func(string) Coldness { return Coldness{} }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures()}
+	f := &Fleet{now: wire.BootTime, onChange: func(Change) {}, canTunnel: func() bool { return false }, coldness: func(string) Coldness { return Coldness{} }, isolation: map[string]isolation{}, targets: map[string]*state{}, remoteLoads: map[string]remoteLoad{}, departed: newDepartures(), links: map[string]*link{}}
 	for _, o := range opts {
 		o(f)
 	}
@@ -187,6 +191,9 @@
 		old.hidden = &t
 		return
 	case t.StartedAtMs != old.StartedAtMs || t.Address != old.Address:
+		if t.Address != old.Address {
+			f.dropLink(t.ID)
+		}
 		f.reset(t)
 		f.onChange(Change{Target: t, Event: "restarted"})
 		return
@@ -227,6 +234,7 @@
 // remove removes a target and remembers it.
 func (f *Fleet) remove(s *state) {
 	delete(f.targets, s.ID)
+	f.dropLink(s.ID)
 	f.ended.add(s.Target, f.now())
 	f.departed.add(*s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "removed"})
@@ -242,6 +250,7 @@
 		return
 	}
 	delete(f.targets, id)
+	f.dropLink(id)
 	f.ended.add(s.Target, f.now())
 	f.onChange(Change{Target: *s.Target, Event: "discarded"})
 	f.indexByService()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -163,7 +163,7 @@
 	}
 	ctx = withRestriction(ctx, j.allowed)
 	if j.checksStart() {
-		ctx = withListedStart(ctx, c)
+		ctx = withListedStart(ctx, j, c)
 	}
 	s := p.newDispatch(j, c)
 	req, err := p.codec.NewRequest(ctx, s)
@@ -245,7 +245,7 @@
 			b = binding{software: c.Software, bound: true}
 		}
 		return !b.bound || slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
-			return s.ID != c.ID && !excluded[s.ID] && !p.boundElsewhere(b, s.Target) && p.mayServe(j, s)
+			return s.ID != c.ID && !excluded[s.ID] && !p.boundElsewhere(b, s.Target) && p.mayServe(j, s) && p.checkEvidence(j, s.ID, b.bound) == nil
 		})
 	}
 }
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"sesamehill.example/sesamehill/internal/fleet"
 )
 
 // errEndUnconfirmed says that a response which ended with its connection may lack its rest.
@@ -27,7 +29,7 @@
 func (p *Proxy) stillRuns(ctx context.Context, j *job, c reservation) bool {
 	p.Metrics.Count("end check")
 	if !j.statesStart() {
-		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable
+		return p.paths.Reach(ctx, c.Service, c.ID, c.Address) == Reachable && (!j.checksStart() || p.fleet.StartEvidence(c.ID) == fleet.StartConfirmed)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.endTimeout(j, c))
 	defer cancel()
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -83,6 +83,9 @@
 	// that the caller gets events of it.
 	binding binding
 	begun   bool
+	// unlisted is set if the stream begins at a start of its target that the entry may not
+	// show.
+	unlisted bool
 	// order checks the events that are sent to the caller.
 	order eventOrder
 	// queueTime is the time spent waiting for capacity, firstEventAfter the time
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -108,8 +108,12 @@
 		return
 	}
 	j.begun = true
-	j.binding = binding{software: c.Software, bound: true}
-	o := origin.Origin{Service: j.service.Name, Software: c.Software}
+	software := c.Software
+	if j.unlisted {
+		software = origin.UnlistedVersion
+	}
+	j.binding = binding{software: software, bound: true}
+	o := origin.Origin{Service: j.service.Name, Software: software}
 	requests := []string{j.ID}
 	if j.Resumes != "" {
 		requests = append(requests, j.Resumes)
@@ -117,6 +121,16 @@
 	p.origins.Begin(ctx, o, requests...)
 }
 
+// beginUnlisted makes a new stream begin at a software version of its own, with which no other target
+// can go on. It returns false if the stream has begun already.
+func (j *job) beginUnlisted() bool {
+	if j.binding.bound {
+		return false
+	}
+	j.unlisted = true
+	return true
+}
+
 // preferSettled returns the targets whose software version may get new streams; all targets
 // if no such version serves.
 func (p *Proxy) preferSettled(j *job, targets []fleet.Status) []fleet.Status {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,7 +111,10 @@
 	pooledTransport http.RoundTripper
 	freshTransport  http.RoundTripper
 	// streamTransport checks on each new connection to which start of a target it leads.
-	streamTransport  http.RoundTripper
+	streamTransport http.RoundTripper
+	// linkUses holds the boot time of the last stream of each service whose targets do not
+	// state their start.
+	linkUses         sync.Map
 	paths            Paths
 	starts           Starts
 	closeConnections atomic.Bool
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -45,6 +45,9 @@
 			j.lastEventAt.Store(int64(wire.BootTime()))
 			if awaitingFirst {
 				awaitingFirst = false
+				if p.evidenceLost(j, c) && !j.beginUnlisted() {
+					return p.retryOrFail(j, "the target may have started again since the request was placed"), fleet.ClientDisconnected
+				}
 				j.firstEventAt.Store(int64(wire.BootTime()))
 				j.firstEventAfter = wire.BootTime() - j.Arrived
 				p.Metrics.Observe("first event", j.firstEventAfter)
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -63,14 +63,20 @@
 	return c.startedAtMs == 0 || listedMs == 0 || c.startedAtMs == listedMs
 }
 
-// listedTargetKey is the key of a listed target in a context, which reaches dialStart through
+// listedTargetKey is the key of a listedTarget in a context, which reaches dialStart through
 // net/http.
 type listedTargetKey struct{}
 
+// listedTarget is a target whose start matters, and whether it states that.
+type listedTarget struct {
+	*fleet.Target
+	statesStart bool
+}
+
 // withListedStart returns the context of an attempt whose connection has to lead to the listed
 // start of its target.
-func withListedStart(ctx context.Context, c reservation) context.Context {
-	ctx = context.WithValue(ctx, listedTargetKey{}, c.Target)
+func withListedStart(ctx context.Context, j *job, c reservation) context.Context {
+	ctx = context.WithValue(ctx, listedTargetKey{}, listedTarget{Target: c.Target, statesStart: j.statesStart()})
 	return wire.WithConnCheck(ctx, func(conn net.Conn) bool {
 		s, ok := conn.(*startedConn)
 		return !ok || s.leadsTo(c.StartedAtMs)
@@ -83,23 +89,24 @@
 
 // checksStart reports whether it matters at which start of its target a request runs: a stream
 // may go on only at the software version that began it.
-func (j *job) checksStart() bool {
-	return j.route.Kind == opconf.Streaming && j.route.Resumable && j.statesStart()
-}
+func (j *job) checksStart() bool { return j.route.Kind == opconf.Streaming && j.route.Resumable }
 
 // dialStart connects to a target and checks that it is the listed start. The check is made on
 // the connection that will carry requests, so that no other start can answer them.
 func (p *Proxy) dialStart(ctx context.Context, network, address string) (net.Conn, error) {
-	t, ok := ctx.Value(listedTargetKey{}).(*fleet.Target)
+	t, ok := ctx.Value(listedTargetKey{}).(listedTarget)
 	if !ok {
 		return p.paths.DialContext(ctx, network, address)
 	}
+	if !t.statesStart {
+		return p.dialLinked(ctx, network, t.Target)
+	}
 	for range maxStartQueries {
 		conn, err := p.paths.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		c, closing, err := p.identify(ctx, conn, t)
+		c, closing, err := p.identify(ctx, conn, t.Target)
 		if err == nil && !closing {
 			return c, nil
 		}
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -321,6 +321,9 @@
 	case p.outdated(j, s):
 		return passedOver{"its weights are too old"}
 	}
+	if check := p.checkEvidence(j, s.ID, j.binding.bound); check != nil {
+		return check
+	}
 	switch wait := p.sendWait(s); {
 	case wait >= noTurn:
 		return passedOver{"only other hosts send to it now"}
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -103,7 +103,9 @@
 
 // recordListRead records that the list of targets was received up to a position.
 func (s *streamOrigins) recordListRead(p feed.Position) {
-	s.listAt.Store(int64(s.host.tables.CurrentAt(s.host.platform.TargetTable(), p)))
+	at := s.host.tables.CurrentAt(s.host.platform.TargetTable(), p)
+	s.listAt.Store(int64(at))
+	s.host.fleet.RecordListRead(at)
 }
 
 // Begin records that requests bring the first events of a stream, or go on with one. It
