Keep a stream at a silent target unless another one responds

Callers saw: a stream that had begun was cut, its connection closed without a whole answer (LOST), while all engines were sound and silent for a while and the configuration changed.

Cause, from the lines of one request: after 2 s without an event its attempt was cancelled ("the target has sent no data for too long") and another target chosen, as one was listed. That one was silent as well, the query for its start failed after 1.6 s, and the host's share of the retry budget was used up by the other streams that did the same: "request cut", reason "retry budget exhausted". The first target went on 0.6 s after the stream had left it.

Change: a stream leaves a silent target only if the budget has a repeat left and another target that may go on with it has sent data within 0.8 s, or answers a query. It then goes to one that has sent data. Keeping the first connection until the second one brings an event was weighed: a request must not go on at another worker while the one before still works on it.

--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -38,6 +38,15 @@
 	s.suspected, s.probing = false, false
 }
 
+// RecordResponse records that a target has answered a query.
+func (f *Fleet) RecordResponse(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.targets[id]; ok {
+		s.lastDataAt = f.now()
+	}
+}
+
 // down reports whether a target is excluded.
 func (s *state) down(now time.Duration) bool { return s.probing || now < s.downUntil }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,8 +14,6 @@
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/opconf"
 	"sesamehill.example/sesamehill/internal/origin"
-	"sesamehill.example/sesamehill/internal/pause"
-	"sesamehill.example/sesamehill/internal/safego"
 	"sesamehill.example/sesamehill/internal/wire"
 )
 
@@ -110,6 +107,7 @@
 	p.Metrics.Observe("attempt", wire.BootTime()-sent)
 	p.recordUse(j, result, wire.BootTime()-sent)
 	if r, ok := result.(retryable); ok {
+		j.leftStalled = j.leftStalled || errors.Is(context.Cause(ctx), errTargetStalled)
 		if !r.sameTarget {
 			j.excluded[c.ID] = true
 		}
@@ -200,56 +198,6 @@
 	return errors.Is(cause, errTargetStalled) || errors.Is(cause, errWithdrawn)
 }
 
-// watchStall cancels an attempt at a target that sends no data if the request can
-// be resumed at another one. It leaves a stream alone while the target sends data
-// on other requests or accepts connections, since the stream may be queued there.
-func (p *Proxy) watchStall(ctx context.Context, cancel context.CancelCauseFunc, j *job, c reservation) func() {
-	if j.route.Kind != opconf.Streaming || !j.route.Resumable || j.attempts+1 >= j.route.Attempts {
-		return func() {}
-	}
-	started := wire.BootTime()
-	probedAt := started
-	limit := max(stallLatencyFactor*j.route.LatencyTarget, 2*noDataLimit)
-	ctx, stop := context.WithCancel(ctx)
-	alternatives := p.alternativesTo(j, c)
-	go safego.Do(j.log, "stall watch", func() {
-		idle, checks := time.Duration(0), reachChecks{}
-		for pause.For(ctx, max(noDataLimit-idle, stallCheckInterval)) == nil {
-			lastEvent := time.Duration(j.lastEventAt.Load())
-			idle = wire.BootTime() - max(started, lastEvent)
-			unreachable := false
-			if idle > noDataLimit && wire.BootTime()-probedAt > noDataLimit && c.attempt.NoDataFor(noDataLimit) {
-				// The request may be queued there, or the engine may prefill other
-				// prompts.
-				probedAt = wire.BootTime()
-				unreachable = checks.failed(p.paths.Reach(ctx, c.Service, c.ID, c.Address)) && ctx.Err() == nil
-			}
-			stalled := lastEvent >= started && idle > max(stallGapFactor*j.route.MaxGap, noDataLimit) && c.attempt.NoDataFor(noDataLimit)
-			if (unreachable || stalled || idle > limit && c.attempt.QueueEmpty()) && alternatives(lastEvent >= started) {
-				cancel(errTargetStalled)
-				return
-			}
-		}
-	})
-	return stop
-}
-
-// alternativesTo returns a function that reports whether another target may go on with a
-// stream, by whether this one has begun it. A stream whose software version serves
-// nowhere else had better wait for a target that does not answer.
-func (p *Proxy) alternativesTo(j *job, c reservation) func(begun bool) bool {
-	service, before, excluded := j.service.Name, j.binding, maps.Clone(j.excluded)
-	return func(begun bool) bool {
-		b := before
-		if begun {
-			b = binding{software: c.Software, bound: true}
-		}
-		return !b.bound || slices.ContainsFunc(p.fleet.Serving(service), func(s fleet.Status) bool {
-			return s.ID != c.ID && !excluded[s.ID] && !p.boundElsewhere(b, s.Target) && p.mayServe(j, s) && p.checkEvidence(j, s.ID, b.bound) == nil
-		})
-	}
-}
-
 // checkCrash finds out whether the target of a failed attempt has crashed, and returns the outcome
 // of the attempt: the target accepts no connection, or has started again since. A host with only
 // a few calls at a target receives little data from it, which says nothing about its state.
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -40,7 +40,7 @@
 // may stop for a second or so; only a response that another target can go on with is not cut if it
 // is given up sooner.
 func (p *Proxy) endTimeout(j *job, c reservation) time.Duration {
-	if j.route.Repeatable() && j.attempts < j.route.Attempts && p.alternativesTo(j, c)(true) {
+	if j.route.Repeatable() && j.attempts < j.route.Attempts && len(p.alternativesTo(j, c)(true)) > 0 {
 		return noDataLimit
 	}
 	return startTimeout
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -74,6 +74,8 @@
 	excluded map[string]bool
 	// renewed holds the targets of which this request has found a start that no entry shows.
 	renewed map[string]bool
+	// leftStalled is set once the request has left a target that sent no data.
+	leftStalled bool
 	// attempts counts the attempts that may have run, deliveries all attempts that
 	// reached a target.
 	attempts, deliveries int
