Do not take a broken-off search for the origin of a stream for its absence

Cause: the other hosts have no record, and the stored ones are read next. If the caller leaves before that, the search ended with "no record, so the base", and the host kept this as the origin, used it for the next try and gave it to other hosts.

Change: a search whose caller has left before it was complete has no result.

The new spec "is not the base if the caller has left before the stored records were read" fails before: v1 in place of unknown.

--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -180,6 +180,9 @@
 		}
 		absent = absent || complete
 	}
+	if ctx.Err() != nil {
+		return proxy.OriginUnknown{} // a search that was broken off does not show that no record was kept
+	}
 	if base, ok := s.registry.Base(service); ok && absent && s.versions.wasReceived() {
 		return s.found(origin.Origin{Service: service, Software: base}, key, "no record, so the base")
 	}
--- a/internal/server/origins_test.go
+++ b/internal/server/origins_test.go
@@ -67,6 +67,19 @@
 		Expect(find()).To(HaveField("Origin.Software", "v2"))
 	})
 
+	// Guards against a stream that goes on at the base, as a caller that left while its origin was
+	// looked for broke the search off, and the host kept that for the origin (review/12 at e85ee2f).
+	It("is not the base if the caller has left before the stored records were read", func() {
+		writer := &streamStore{host: memberHost(1, true), table: t}
+		writer.add([]origin.Begun{{Origin: origin.Origin{Service: "llm", Software: "v2"}, Keys: []origin.Key{origin.NewKey("first")}}})
+		Expect(writer.writeRows(context.Background())).To(BeTrue())
+		origins := witnessOrigins(t)
+		ctx, leave := context.WithTimeout(context.Background(), originRetryDelay/2)
+		defer leave()
+		Expect(origins.Find(ctx, "llm", "first")).To(Equal(proxy.OriginUnknown{}))
+		Expect(origins.Find(context.Background(), "llm", "first")).To(HaveField("Origin.Software", "v2"))
+	})
+
 	// Guards against a stream that is refused although none of its hosts has a record of it.
 	It("is the base if none was stored, or nothing says whether one was", func() {
 		Expect(find()).To(HaveField("Origin.Software", "v1"))
