--- a/internal/crash/judge.go
+++ b/internal/crash/judge.go
@@ -75,12 +75,12 @@
 	candidates, quarantined []*candidate
 }
 
-// next returns the candidate to quarantine next: the one that is the first to reach its number of crashes, counting only those
-// that no part in quarantine explains; nil if none does. Among candidates that reach it at about
-// the same crash, those go first that no target is known to have survived, then those with more
-// crashes up to that one, then those deeper in the prompt, which fewer requests share. Crashes that
-// count once, as they are close to each other, still tell candidates apart. With the most parts
-// in quarantine, a candidate can only replace one of them.
+// next returns the candidate to quarantine next: the first to reach its number of crashes, of
+// those that no part in quarantine explains; nil if none does. Among candidates that reach it at
+// about the same crash, those go first that no target is known to have survived, then those with
+// more crashes up to that one, then those deeper in the prompt, which fewer requests share. Crashes
+// that count once, as they are close to each other, still tell candidates apart. With the most
+// parts in quarantine, a candidate can only replace one of them.
 func (j *judgement) next() *candidate {
 	reachedAt := map[*candidate]time.Time{}
 	var first time.Time
