Begin streams at a version of their own where the list of targets is old

Only connections that had broken put a start in doubt.

Change: with a list older than 2 s a start that no connection confirms is in doubt too.

--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -17,9 +17,9 @@
 	// evidencePollInterval is the time after which a stream that waits for evidence of the start
 	// of a target is placed again.
 	evidencePollInterval = 100 * time.Millisecond
-	// maxListAge is the age of the list of targets from which new streams do not wait for what
-	// it shows.
-	maxListAge = 3 * time.Second
+	// maxListAge is the age of the list of targets from which it may lack the entries of present
+	// starts, and new streams do not wait for what it shows.
+	maxListAge = 2 * time.Second
 	// linkUse is how long after a stream was placed connections to the targets of its service are kept
 	// open that show that none of them has started again.
 	linkUse = time.Minute
@@ -71,14 +71,15 @@
 	return limited{evidencePollInterval}
 }
 
-// evidenceLost reports whether a target may have started again since an attempt was placed there, so
-// that its answer may be of another software version than its entry says.
+// evidenceLost reports whether a target may have started again, so that its answer may be of another
+// software version than its entry says: connections have broken since the attempt was placed, or
+// the list is old and no connection was open.
 func (p *Proxy) evidenceLost(j *job, c reservation) bool {
 	if !j.checksStart() || j.statesStart() {
 		return false
 	}
 	evidence := p.fleet.StartEvidence(c.ID)
-	lost := evidence == fleet.StartDoubted || j.binding.bound && evidence != fleet.StartConfirmed
+	lost := evidence == fleet.StartDoubted || evidence == fleet.StartAssumed && (j.binding.bound || p.fleet.ListAge() > maxListAge)
 	if lost {
 		p.Metrics.Count("start doubted")
 		j.log.Info(
