--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,8 +79,7 @@
 	if !j.checksStart() || j.statesStart() {
 		return false
 	}
-	evidence := p.fleet.StartEvidence(c.ID)
-	lost := evidence == fleet.StartDoubted || evidence == fleet.StartAssumed && (j.binding.bound || p.fleet.ListAge() > maxListAge)
+	lost := p.inDoubt(c.ID) || j.binding.bound && p.fleet.StartEvidence(c.ID) != fleet.StartConfirmed
 	if lost {
 		p.Metrics.Count("start doubted")
 		j.log.Info(
@@ -90,6 +90,31 @@
 	return lost
 }
 
+// inDoubt reports whether a target that does not state its start may have started again since its
+// entry was read.
+func (p *Proxy) inDoubt(target string) bool {
+	switch p.fleet.StartEvidence(target) {
+	case fleet.StartDoubted:
+		return true
+	case fleet.StartAssumed:
+		return p.fleet.ListAge() > maxListAge
+	}
+	return false
+}
+
+// preferCertain returns the targets at which a new stream begins at the software version of their
+// entries; all targets if there is none.
+func (p *Proxy) preferCertain(j *job, targets []fleet.Status) []fleet.Status {
+	if !j.checksStart() || j.statesStart() || j.binding.bound {
+		return targets
+	}
+	certain := slices.DeleteFunc(slices.Clone(targets), func(s fleet.Status) bool { return p.inDoubt(s.ID) })
+	if len(certain) == 0 {
+		return targets
+	}
+	return certain
+}
+
 // LinkedServices returns the services whose targets do not state their start, and that had
 // streams lately.
 func (p *Proxy) LinkedServices() []string {
--- a/internal/proxy/waitqueue.go
+++ b/internal/proxy/waitqueue.go
@@ -292,7 +292,7 @@
 		}
 		targets = append(targets, s)
 	}
-	return preferResponsive(j, p.preferSettled(j, targets)), limitedFor
+	return preferResponsive(j, p.preferCertain(j, p.preferSettled(j, targets))), limitedFor
 }
 
 // targetCheck is why a target cannot take a request now: passedOver or limited; nil if it can.
