--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -21,8 +21,8 @@
 	// maxListAge is the age of the list of targets from which it may lack the entries of present
 	// starts, and new streams do not wait for what it shows.
 	maxListAge = 2 * time.Second
-	// linkUse is how long after a stream was placed connections to the targets of its service are kept
-	// open that show that none of them has started again.
+	// linkUse is how long after a stream idle connections to the targets of its service are kept
+	// open.
 	linkUse = time.Minute
 )
 
