--- a/internal/server/streamread.go
+++ b/internal/server/streamread.go
@@ -20,6 +20,9 @@
 // could. Callers that wait for a read share its result if it started after their calls.
 func (s *streamStore) read(ctx context.Context) bool {
 	calledAt := wire.BootTime()
+	if ctx.Err() != nil {
+		return false // select may choose the other case
+	}
 	select {
 	case s.reading <- struct{}{}:
 	case <-ctx.Done():
