Take a stream without a record for one of the base only if its record cannot be missing

Cause: a search that found no stored record concluded that the stream had begun at the base. A host begins streams also while it cannot store their records; those are then known to processes only, and end with them. A restore loses stored records in the same way. Nothing in the store said that records may be missing.

A search that finds no stored record concludes that there was none only if each process with a row has answered it, and if the stored era is that of the store. The line "stream resumed by its caller" has a field reason.

Why it works: whoever may have begun a stream without a record left an intent before it did so, which a kill does not remove; a restore that removes it shows in the era. A kill without an outage refuses nothing, as all streams of a service with several versions are stored, also those of the base.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -42,7 +42,11 @@
 
 // OriginUnknown says that no record shows which software version began the stream, and nothing
 // that there is only one that can have.
-type OriginUnknown struct{}
+type OriginUnknown struct {
+	// Reason says why a missing record does not show the origin, for the log; empty if nothing is
+	// known of the records.
+	Reason string
+}
 
 func (OriginFound) originResult()   {}
 func (OriginUnknown) originResult() {}
@@ -82,10 +86,11 @@
 		p.fleet.RecordLabel(found.Software)
 		j.bindTo(found.Origin)
 	}
+	unknown, _ := result.(OriginUnknown)
 	p.Metrics.Count("resumed")
 	j.log.Info(
 		"stream resumed by its caller", zap.String("resumes", j.Resumes), zap.String("lastevent", j.LastEventID), zap.String("service", j.service.Name),
-		zap.Bool("known", known), zap.String("software", found.Software), zap.String("evidence", found.Evidence),
+		zap.Bool("known", known), zap.String("software", found.Software), zap.String("evidence", found.Evidence), zap.String("reason", unknown.Reason),
 		zap.Int64("evidenceage", found.EvidenceAge.Milliseconds()), zap.Int64("took", (wire.BootTime()-started).Milliseconds()),
 	)
 	return known
--- a/internal/server/originquery.go
+++ b/internal/server/originquery.go
@@ -54,6 +54,10 @@
 	Covered bool   `cbor:"5,keyasint,omitempty"`
 	// Software holds the versions of the service if there are several.
 	Software origin.Sightings `cbor:"6,keyasint,omitempty"`
+	// StartedAtMs is the start of the process, in Unix milliseconds; zero from hosts of an older
+	// build. Host is the name of the host that was queried.
+	StartedAtMs int64  `cbor:"7,keyasint,omitempty"`
+	Host        string `cbor:"-"`
 }
 
 // observeAnswers records the software versions of a service that other hosts have stated.
@@ -86,6 +90,11 @@
 	return origin.Origin{}, false
 }
 
+// includes reports whether a process has answered.
+func (a originAnswers) includes(w streamWriter) bool {
+	return slices.ContainsFunc(a.replies, func(r originReply) bool { return r.Host == w.Host && r.StartedAtMs == w.StartedAtMs })
+}
+
 // conclusive reports whether a host has answered that there is one version only.
 func (a originAnswers) conclusive() bool {
 	return slices.ContainsFunc(a.replies, func(r originReply) bool { return r.Covered && r.Single != "" })
@@ -134,7 +143,7 @@
 	if err != nil && ctx.Err() == nil {
 		s.host.log.Debug("origin of a stream not received", zap.String("peer", owner.Peer), zap.Error(err))
 	}
-	r.Answered = err == nil
+	r.Answered, r.Host = err == nil, owner.Host
 	r.Ended = errors.Is(err, syscall.ECONNREFUSED) && s.contact.Covers(owner.Host, wire.BootTime())
 	return r
 }
@@ -170,7 +179,7 @@
 // reply returns the answer to a query of another host.
 func (s *streamOrigins) reply(q originQuery) originReply {
 	o, known := s.registry.Find(q.Key)
-	r := originReply{Known: known, Origin: o, Witness: s.isWitness(q.Service)}
+	r := originReply{Known: known, Origin: o, Witness: s.isWitness(q.Service), StartedAtMs: s.host.members.startedAtMs}
 	if s.versions.wasReceived() {
 		s.observe()
 		r.Single, r.Covered = s.registry.KnownVersion(q.Service, wire.BootTime())
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -64,6 +64,7 @@
 	t.Add("software", s.versions.Run)
 	t.Add("streams", s.store.Run)
 	t.Add("stale streams", s.store.RemoveStale)
+	t.Add("era of streams", s.store.KeepEra)
 }
 
 // observe records the software versions that the list of targets shows.
@@ -130,10 +131,21 @@
 	}
 }
 
-// Settled reports whether a software version of a service may get new streams.
+// Settled reports whether a software version of a service may get new streams. One that is not the
+// base gets them once this host has stored its intent.
 func (s *streamOrigins) Settled(service, software string) bool {
 	s.observe()
-	return s.registry.Settled(service, software, wire.BootTime())
+	if !s.registry.Settled(service, software, wire.BootTime()) {
+		return false
+	}
+	if !s.registry.HasSeveral(service) {
+		return true
+	}
+	if base, ok := s.registry.Base(service); ok && base == software || s.store.hasIntent() {
+		return true
+	}
+	s.store.notify()
+	return false
 }
 
 // Find looks for the origin of a stream here, at its owners and among the stored streams. That
@@ -222,10 +234,11 @@
 // findStored looks for the origin of a stream among the stored ones, after its owners have answered
 // that they have no record. They lack that of a stream whose host ended before it sent the record.
 // Owners without a record do not show that none was kept where records are stored in time: their
-// datagrams may have been lost.
+// datagrams may have been lost. Neither does the store if a process that may have begun the stream
+// while it could store nothing has ended, or if the platform was restored.
 func (s *streamOrigins) findStored(ctx context.Context, service string, key origin.Key, answers originAnswers) proxy.OriginResult {
 	absent := s.absentFrom(service, answers)
-	complete, read := s.store.complete(), false
+	complete, read, reason := s.store.complete(), false, ""
 	if mayRead := !absent || complete && !s.store.failedToRead(); mayRead {
 		read = s.store.read(ctx)
 	}
@@ -233,10 +246,11 @@
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
-		if only, ok := s.onlyVersion(service); ok && complete {
+		reason = s.store.unrecordedReason(answers)
+		if only, ok := s.onlyVersion(service); ok && complete && reason == "" {
 			return s.foundOnly(service, only, "only version, no stored record")
 		}
-		absent = absent || complete
+		absent = absent || complete && reason == ""
 	}
 	if ctx.Err() != nil {
 		return proxy.OriginUnknown{} // a search that was broken off does not show that no record was kept
@@ -245,7 +259,7 @@
 	case !s.registry.HasSeveral(service):
 		return s.findKnownToAll(service, answers)
 	case !absent:
-		return proxy.OriginUnknown{}
+		return proxy.OriginUnknown{Reason: reason}
 	}
 	return s.assumeBase(service, key, complete && !read)
 }
--- a/internal/server/streamread.go
+++ b/internal/server/streamread.go
@@ -40,7 +40,7 @@
 	startedAt := wire.BootTime()
 	scanCtx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	rows, err := s.scan(scanCtx)
+	rows, err := s.scan(scanCtx, "")
 	if err != nil && ctx.Err() != nil {
 		return false // the caller has left, which says nothing about the platform
 	}
@@ -50,7 +50,12 @@
 		s.host.log.Warn("stored streams cannot be read", zap.Error(err))
 		return false
 	}
+	seen := rowsRead{writers: map[streamWriter]struct{}{}}
+	seen.era, seen.hasEra = newestEra(rows)
 	for _, row := range rows {
+		if w, ok := parseWriter(row.Key); ok {
+			seen.writers[w] = struct{}{}
+		}
 		var begun []origin.Begun
 		if err := cbor.Unmarshal(row.Value, &begun); err != nil {
 			s.host.log.Warn("row of stored streams cannot be decoded; ignoring it", zap.String("key", shorten(row.Key)), zap.String("error", shorten(err.Error())))
@@ -58,9 +63,25 @@
 		}
 		s.registry.Import(begun, startedAt)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastRead = seen
 	return true
 }
 
+// rowsRead is what the keys of the stored rows show.
+type rowsRead struct {
+	// writers are the processes that may have begun streams without a stored record.
+	writers map[streamWriter]struct{}
+	// era is the newest stored era of the platform, if hasEra is set.
+	era    uint64
+	hasEra bool
+}
+
+// restoredBefore reports whether a restore that led to an era of the platform may have lost records
+// of streams that may be resumed now.
+func (r *rowsRead) restoredBefore(era uint64) bool { return r.hasEra && r.era < era }
+
 // recordRead records the result of a read.
 func (s *streamStore) recordRead(err error) {
 	s.mu.Lock()
@@ -78,11 +99,11 @@
 	return s.readFailedAt != 0 && wire.BootTime()-s.readFailedAt < storeFailureMemory
 }
 
-// scan returns all rows of the table.
-func (s *streamStore) scan(ctx context.Context) ([]table.Row, error) {
+// scan returns all rows of the table whose key has a prefix.
+func (s *streamStore) scan(ctx context.Context, prefix string) ([]table.Row, error) {
 	var rows []table.Row
 	for after := ""; ; {
-		page, err := s.table.Scan(ctx, "", after, streamPageRows)
+		page, err := s.table.Scan(ctx, prefix, after, streamPageRows)
 		if err != nil || len(page) == 0 {
 			return rows, err
 		}
@@ -91,8 +112,8 @@
 	}
 }
 
-// RemoveStale removes the rows that have not changed for longer than a stream may be resumed,
-// until ctx is cancelled. Only the lease holder does.
+// RemoveStale removes the rows that have not changed for staleRowAge, but for the newest era, until ctx is
+// cancelled. Only the lease holder does.
 func (s *streamStore) RemoveStale(ctx context.Context) error {
 	type seen struct {
 		version uint64
@@ -106,19 +127,23 @@
 			continue
 		}
 		lookedAt = wire.BootTime()
-		rows, err := s.scan(ctx)
+		rows, err := s.scan(ctx, "")
 		if err != nil {
 			continue
 		}
 		now, previous := wire.BootTime(), known
 		known = make(map[string]seen, len(rows))
+		newest, _ := newestEra(rows)
 		for _, row := range rows {
+			if era, ok := parseEra(row.Key); ok && era == newest {
+				continue
+			}
 			k, ok := previous[row.Key]
 			if !ok || k.version != row.Version {
 				k = seen{version: row.Version, at: now}
 			}
 			known[row.Key] = k
-			if now-k.at > origin.Retention {
+			if now-k.at > staleRowAge {
 				_ = s.table.Write(ctx, []table.Op{{Key: row.Key, Version: row.Version, Delete: true}}) // tried again
 			}
 		}
--- a/internal/server/streamrows.go
+++ b/internal/server/streamrows.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -73,6 +73,12 @@
 	failedAt time.Duration
 	// readFailedAt is the boot time at which the last read failed; zero if it did not.
 	readFailedAt time.Duration
+	// intentAt is the boot time at which the last successful write of the intent was sent, and
+	// intentEra the era of the platform then.
+	intentAt  time.Duration
+	intentEra uint64
+	// lastRead is what the last successful read showed beside the streams.
+	lastRead rowsRead
 
 	// reading is held by the caller that reads the rows, and guards readAt, the boot time at
 	// which the last read that ended started.
@@ -99,8 +105,9 @@
 	return time.Duration(s.host.hostCount()) * streamWriteSpacing
 }
 
-// complete reports whether each stream that began elsewhere than at the base of its service
-// was stored before its caller got events of it. Hosts of builds that store none do not.
+// complete reports whether each host that runs stores a stream that begins elsewhere than at the
+// base of its service before its caller gets events of it, or has stored an intent. Hosts of builds
+// that store none do not.
 func (s *streamStore) complete() bool {
 	return s.interval() <= maxStoreWait && s.host.members.allStoreStreams()
 }
@@ -117,7 +124,7 @@
 		s.noticeRestore()
 		begun, sequence := s.registry.TakeUnstored()
 		s.add(begun)
-		if s.writeRows(ctx) {
+		if s.keepIntent(ctx) && s.writeRows(ctx) {
 			s.recordStored(sequence)
 		}
 		if pause.For(ctx, s.interval()) != nil {
@@ -170,13 +177,11 @@
 		}
 		value, err := cbor.Marshal(row.begun)
 		if err == nil {
-			err = s.put(ctx, i, value)
+			err = s.put(ctx, strconv.Itoa(i), value)
 		}
 		if err != nil {
 			s.host.log.Warn("streams that began could not be stored", zap.Int("streams", row.keys), zap.Error(err))
-			s.mu.Lock()
-			s.failedAt = wire.BootTime()
-			s.mu.Unlock()
+			s.recordFailure()
 			return false
 		}
 		row.written = true
@@ -184,13 +189,24 @@
 	return true
 }
 
-func (s *streamStore) put(ctx context.Context, index int, value []byte) error {
+// put writes a row of this process.
+func (s *streamStore) put(ctx context.Context, part string, value []byte) error {
+	return s.putKey(ctx, s.writer().key(part), value)
+}
+
+func (s *streamStore) putKey(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	key := fmt.Sprintf("%s/%d/%d", s.host.currentSettings().Name, s.host.members.startedAtMs, index)
 	return s.table.Put(ctx, key, value)
 }
 
+// recordFailure records that a write has failed.
+func (s *streamStore) recordFailure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedAt = wire.BootTime()
+}
+
 func (s *streamStore) recordStored(sequence uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/server/timing_test.go
+++ b/internal/server/timing_test.go
@@ -25,6 +25,8 @@
 		{"a lost message of another host, and a gap in its messages", 2 * gossip.MaxInterval, origin.SettleTime},
 		{"a renewal of the lease that fails, and one that follows", leaseRenewInterval*5/4 + leaseTimeout, leaseTTL - leaseMargin},
 		{"a stream that may be resumed, and its stored row", origin.Retention, (streamRows - 1) * streamRowTime},
+		{"a refresh of the intent that fails, and one that follows", 2*intentRefreshInterval + streamCallTimeout, intentTTL},
+		{"a stream that begins at the end of an intent and may be resumed, and the removal of the intent", intentTTL + origin.Retention - 1, staleRowAge},
 		{"hosts that forget a vanished version, and its removal", relay.CurrentTTL + gossip.MaxInterval, vanishedRemovalDelay},
 		{"a message of each other host, and a host that counts as ready without one", gossip.MaxInterval, maxConfigWait},
 		{"a list of targets that is followed, and one that may lack starts", relay.CurrentTTL, fleet.LateEntryTime},
