Let a new lease holder begin to give orders only by a write that a resumed one would stop

Cause: the last holder goes on after a restore if no other host can have given an order yet. Nothing made the other host, whose acquisition the restore had lost, give none afterwards: it trusted its own deadline, and the store turned it away, so that it did not see the row.

Change: where the last holder may go on, a new one begins by a write that is confirmed after the delay of its acquisition and was sent at most one call timeout before (Holding.Begin). The last holder's time to go on ends one call timeout sooner. A holder that has not begun reads its row again when it learns of a new era, gives up if its write has replaced a row that it had not read in that era, and never goes on after a restore: the model found that it may have been overtaken. The next step is made as the delay ends, so that a takeover is not later but for one call.

Why it works: the write of the new holder is sent after the last one has read the restored row, so that both write on the condition of a version from the new era, and the store stops one of them. Without an answer the new holder does not begin.

--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -19,6 +19,12 @@
 // goes on if its lease has just ended (WithResume).
 // Fencing tokens of a later era are above all of an earlier one.
 //
+// With WithResume a new holder gives its first order only after a write that was confirmed
+// once the delay of its acquisition had passed. The last holder goes on only if a write of
+// that kind has to come after the restore: the two then write the row that both have read in
+// the new era, and one of them fails. Nothing else would stop a new holder that the platform
+// turns away.
+//
 // View, Decide and Holding.Confirm are the protocol without I/O and clock; Lease
 // runs it.
 //
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -151,7 +151,7 @@
 			delay = l.ttl / 3
 		}
 		delay += time.Duration(rand.Int64N(int64(delay)/4 + 1))
-		t := time.NewTimer(delay)
+		t := time.NewTimer(min(delay, l.untilBegin(delay)))
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -164,6 +164,16 @@
 	}
 }
 
+// untilBegin returns the time until the write that lets this host begin to give orders, or a delay
+// if none is due.
+func (l *Lease) untilBegin(delay time.Duration) time.Duration {
+	h, now := l.currentHolding(), l.now()
+	if h.Record.FencingToken == 0 || h.Begun || h.delayPassed(now) {
+		return delay
+	}
+	return h.AcquiredAt.Add(h.UnfencedDelay).Sub(now)
+}
+
 // Step renews the lease if this host holds it, and otherwise tries to acquire it. It
 // returns an error if it cannot tell whether another host holds the lease.
 func (l *Lease) Step(ctx context.Context) error {
@@ -171,6 +181,10 @@
 	defer l.stepping.Unlock()
 	h := l.currentHolding()
 	if h.Valid(l.now()) {
+		h, err := l.rebaseRestored(ctx, h)
+		if err != nil || h.Record.FencingToken == 0 {
+			return err
+		}
 		l.renewal++
 		r := h.Record
 		r.Renewal, r.Era, r.DelayMillis = l.renewal, l.era(), min(r.DelayMillis, h.remainingDelay(l.now()))
@@ -179,6 +193,9 @@
 	if h.Record.FencingToken != 0 {
 		l.last = h
 	}
+	if !l.last.Begun {
+		l.last = Holding{} // the holder before may have gone on meanwhile
+	}
 	l.setHolding(Holding{})
 	row, err := l.read(ctx)
 	if err != nil {
@@ -204,11 +221,30 @@
 	return l.write(ctx, next, record)
 }
 
+// rebaseRestored returns the state of the lease before a renewal. A holder that has not begun to
+// give orders reads the row again after a restore: a version that it knows from before may have
+// been given out again, to the last holder that goes on. It returns no holding if the lease is lost.
+func (l *Lease) rebaseRestored(ctx context.Context, h Holding) (Holding, error) {
+	if h.Begun || l.era() == h.Record.Era {
+		return h, nil
+	}
+	row, err := l.read(ctx)
+	if err != nil {
+		return h, juju.Annotatef(err, "read lease %q after a restore", l.name)
+	}
+	next, ok := h.Rebase(row, l.era())
+	if !ok {
+		next, l.last = Holding{}, Holding{}
+	}
+	l.setHolding(next)
+	return next, nil
+}
+
 // nextHolding returns the state of the lease that an acquisition leads to. A host that
 // runs one process at a time keeps the remaining delay of its row, as no other host
 // has given an order since.
 func (l *Lease) nextHolding(a Acquire, c Contender) Holding {
-	next := Holding{Version: a.Version, StopMargin: l.stopMargin, UnfencedDelay: l.unfencedDelay}
+	next := Holding{Version: a.Version, StopMargin: l.stopMargin, UnfencedDelay: l.unfencedDelay, Begun: !l.resumes}
 	r := l.view.Record
 	if l.view.Version != 0 && r.TTLMillis == 0 {
 		next.UnfencedDelay = l.releasedDelay
@@ -217,14 +253,14 @@
 		next.UnfencedDelay = min(next.UnfencedDelay, time.Duration(r.DelayMillis)*time.Millisecond)
 	}
 	if c.mayResume(l.view, l.now()) {
-		next.AcquiredAt, next.UnfencedDelay = c.Last.AcquiredAt, c.Last.UnfencedDelay
+		next.AcquiredAt, next.UnfencedDelay, next.Begun = c.Last.AcquiredAt, c.Last.UnfencedDelay, c.Last.Begun
 	}
 	return next
 }
 
 // contender returns this host as a contender.
 func (l *Lease) contender() Contender {
-	c := Contender{OwnID: l.ownID, HighestToken: l.highestToken(), TTL: l.ttl, UnfencedDelay: l.unfencedDelay}
+	c := Contender{OwnID: l.ownID, HighestToken: l.highestToken(), TTL: l.ttl, UnfencedDelay: l.unfencedDelay, ConfirmTime: l.timeout}
 	if l.singleProcess {
 		c.Host = l.host
 	}
@@ -282,17 +318,21 @@
 	next, ok := h.Confirm(r, row, sent)
 	isHeld := h.Record.FencingToken != 0
 	switch {
-	case ok && isHeld:
-		l.setHolding(next)
-	case ok && l.era() != r.Era:
-		// The platform was restored around the acquisition: the row may be lost, or the
-		// version that it replaced may have had another record.
+	case ok && l.era() != r.Era && !(isHeld && next.Begun):
+		// The platform was restored around the write: the row may be lost, or the version that it
+		// replaced may have had another record. No order was given by this acquisition.
+		if isHeld {
+			l.last = Holding{}
+			l.setHolding(Holding{})
+		}
 		return nil
+	case ok && isHeld:
+		l.setHolding(next.Begin(sent, l.now(), l.timeout))
 	case ok:
 		if next.AcquiredAt.IsZero() {
 			next.AcquiredAt = l.now()
 		}
-		l.setHolding(next)
+		l.setHolding(next.Begin(sent, l.now(), l.timeout))
 	case isHeld:
 		next, ok = h.Rebase(row, l.era())
 		if !ok {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -18,6 +20,16 @@
 	"sesamehill.example/sesamehill/internal/table"
 )
 
+// modelChecks is the number of random runs of each model: TestLastHolderResumes took up to 1,493 to
+// find orders of two hosts that it guards against.
+const modelChecks = "3000"
+
+func init() {
+	if err := flag.Set("rapid.checks", modelChecks); err != nil {
+		panic(err)
+	}
+}
+
 func TestLease(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "lease")
@@ -48,6 +60,8 @@
 	// number that the platform states about its restores; zero if it states none.
 	backup table.Row
 	era    uint64
+	// away holds the hosts that the platform turns away.
+	away map[string]bool
 	// resumes is set if the hosts give all orders only after the delay for targets that
 	// ignore fencing tokens; usedBy is the host that could give the last one.
 	resumes bool
@@ -59,10 +73,14 @@
 // the host has received.
 type hostTable struct {
 	*simulation
+	host    string
 	seenEra uint64
 }
 
 func (h *hostTable) Read(ctx context.Context, keys ...string) ([]table.Row, error) {
+	if h.away[h.host] {
+		return nil, &table.DownError{Reason: "test"}
+	}
 	rows, err := h.simulation.Read(ctx, keys...)
 	if err == nil {
 		h.seenEra = h.era
@@ -71,6 +89,9 @@
 }
 
 func (h *hostTable) Write(ctx context.Context, ops []table.Op) error {
+	if h.away[h.host] {
+		return &table.DownError{Reason: "test"}
+	}
 	err := h.simulation.Write(ctx, ops)
 	var conflict *table.ConflictError
 	if err == nil || errors.As(err, &conflict) {
@@ -84,7 +105,7 @@
 func newSimulation(fail func(string)) *simulation {
 	return &simulation{
 		now: time.Now(), delayed: map[time.Time]table.Op{}, hosts: map[string]*Lease{},
-		lastOrder: map[string]time.Time{}, tokenOwner: map[uint64]string{}, fail: fail, duringPause: func() {},
+		lastOrder: map[string]time.Time{}, tokenOwner: map[uint64]string{}, fail: fail, duringPause: func() {}, away: map[string]bool{},
 	}
 }
 
@@ -93,7 +114,7 @@
 	if s.resumes {
 		opts = append(opts, WithResume())
 	}
-	s.hosts[name] = New(&hostTable{simulation: s}, "rollout", name, opts...)
+	s.hosts[name] = New(&hostTable{simulation: s, host: name}, "rollout", name, opts...)
 }
 
 // restore puts the row back to the last copy, so that versions are given out again.
@@ -179,7 +200,7 @@
 	for name, l := range s.hosts {
 		h := l.currentHolding()
 		start, end := h.AcquiredAt.Add(h.UnfencedDelay), h.Deadline.Add(-stopMargin)
-		if h.Record.FencingToken == 0 || s.now.Before(start) || !start.Before(end) {
+		if h.Record.FencingToken == 0 || !h.Begun || s.now.Before(start) || !start.Before(end) {
 			continue
 		}
 		if end.After(s.now) {
@@ -294,6 +315,8 @@
 					sim.faults = words
 				case words[1] == "step":
 					_ = l.Step(context.Background())
+				case words[1] == "away", words[1] == "back":
+					sim.away[words[0]] = words[1] == "away"
 				case words[1] == "release":
 					Expect(l.Release(context.Background())).To(Succeed())
 				default:
@@ -311,7 +334,7 @@
 
 // Guards against two holders at once under any interleaving of three hosts that step,
 // release, pause inside a table operation, stop and start again, while replies are
-// lost or delayed and the platform is unavailable.
+// lost or delayed and the platform is unavailable to all or turns single hosts away.
 func TestOneHolder(t *testing.T) { checkOneHolder(t, 0, false) }
 
 // Guards against two holders at once, and a fencing token that goes down, while the
@@ -323,6 +346,26 @@
 // with its lease at once.
 func TestLastHolderResumes(t *testing.T) { checkOneHolder(t, 1, true) }
 
+// boundaries returns the future times, nearest first, at which a host's right to give orders begins
+// or ends, now or by its last lease.
+func (s *simulation) boundaries() []time.Time {
+	var out []time.Time
+	for _, l := range s.hosts {
+		for _, h := range []Holding{l.currentHolding(), l.last} {
+			if h.Record.FencingToken == 0 {
+				continue
+			}
+			for _, at := range []time.Time{h.Deadline.Add(-stopMargin), h.Deadline, h.AcquiredAt.Add(h.UnfencedDelay), h.Deadline.Add(h.UnfencedDelay)} {
+				if at.After(s.now) {
+					out = append(out, at)
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // checkOneHolder plays random interleavings. With an era above zero the platform is
 // also restored from copies.
 func checkOneHolder(t *testing.T, era uint64, resumes bool) {
@@ -350,6 +393,8 @@
 				call(names[index.Draw(t, "overtaker")], (*Lease).Step)
 			}
 		}
+		offset := rapid.SampledFrom([]time.Duration{-1500 * time.Millisecond, -500 * time.Millisecond, -time.Millisecond, 0, time.Millisecond, 500 * time.Millisecond})
+		late := rapid.SampledFrom([]time.Duration{time.Millisecond, 500 * time.Millisecond, time.Second, 1900 * time.Millisecond})
 		fault := rapid.SampledFrom([]string{"", "down", "nothing", "lost", "late", "pause:3s", "pause:11s", "after:3s", "after:11s"})
 		actions := map[string]func(*rapid.T){
 			"step": func(t *rapid.T) {
@@ -361,7 +406,14 @@
 			},
 			"fault":   func(t *rapid.T) { sim.faults = []string{fault.Draw(t, "first"), fault.Draw(t, "second")} },
 			"advance": func(t *rapid.T) { sim.advance(pause.Draw(t, "time")) },
-			"release": func(t *rapid.T) { call(names[index.Draw(t, "host")], (*Lease).Release) },
+			"advance to a boundary": func(t *rapid.T) {
+				if at := sim.boundaries(); len(at) > 0 {
+					boundary := at[rapid.IntRange(0, len(at)-1).Draw(t, "boundary")]
+					sim.advance(max(boundary.Add(offset.Draw(t, "offset")).Sub(sim.now), 0))
+				}
+			},
+			"turn a host away": func(t *rapid.T) { n := names[index.Draw(t, "host")]; sim.away[n] = !sim.away[n] },
+			"release":          func(t *rapid.T) { call(names[index.Draw(t, "host")], (*Lease).Release) },
 			"reboot": func(t *rapid.T) {
 				i := index.Draw(t, "host")
 				delete(sim.hosts, names[i])
@@ -374,6 +426,18 @@
 		if era > 0 {
 			actions["copy"] = func(*rapid.T) { sim.backup = sim.row }
 			actions["restore"] = func(*rapid.T) { sim.restore() }
+			actions["lose a takeover"] = func(t *rapid.T) { // that another host makes at the end of the lease
+				next, last := names[index.Draw(t, "next")], names[index.Draw(t, "last")]
+				call(next, (*Lease).Step)
+				sim.backup = sim.row
+				if end := sim.hosts[last].currentHolding().Deadline; end.After(sim.now) {
+					sim.advance(end.Add(late.Draw(t, "late")).Sub(sim.now))
+				}
+				call(next, (*Lease).Step)
+				sim.advance(late.Draw(t, "held"))
+				sim.restore()
+				call(last, (*Lease).Step)
+			}
 			actions["other reply"] = func(t *rapid.T) { // of another table of the platform
 				sim.hosts[names[index.Draw(t, "host")]].table.(*hostTable).seenEra = sim.era
 			}
--- a/internal/lease/protocol.go
+++ b/internal/lease/protocol.go
@@ -156,19 +156,25 @@
 	// UnfencedDelay is the least time after an acquisition at which another host gives its
 	// first order, if hosts give orders only after that delay.
 	UnfencedDelay time.Duration
-	// Last is the last lease of this process that ended at its deadline. It is given if
-	// hosts give orders only after the delay for targets that ignore fencing tokens.
+	// ConfirmTime is the longest time for which the write that lets another host begin to give
+	// orders may have been under way.
+	ConfirmTime time.Duration
+	// Last is the last lease of this process that ended at its deadline, if it had begun to give
+	// orders. It is given if hosts give orders only after the delay for targets that ignore fencing
+	// tokens.
 	Last Holding
 }
 
 // mayResume reports whether a process may go on with its last lease after a restore, as it
 // has seen no later one. By a lost row another host can have acquired the lease after the
-// deadline, and can have given its first order only UnfencedDelay later.
+// deadline. It begins to give orders UnfencedDelay later at the earliest, by a write sent
+// ConfirmTime before that at the earliest. That write has to come after the restore: it then
+// fails if this process has written the row first, and else makes the acquisition fail.
 func (c Contender) mayResume(v View, now time.Time) bool {
 	last, r := c.Last.Record, v.Record
 	isOlder := r.FencingToken < last.FencingToken || r.AcquisitionID == last.AcquisitionID
 	return last.FencingToken >= max(v.HighestToken, 1) && last.Era < v.Era && r.Era < v.Era && isOlder &&
-		now.Before(c.Last.Deadline.Add(min(c.Last.UnfencedDelay, c.UnfencedDelay)))
+		now.Before(c.Last.Deadline.Add(min(c.Last.UnfencedDelay, c.UnfencedDelay)-c.ConfirmTime))
 }
 
 // Decide decides for a contender. After a restore of the platform no row is free at
@@ -212,6 +218,9 @@
 	// UnfencedDelay how long an order of the previous holder may be in flight.
 	StopMargin    time.Duration
 	UnfencedDelay time.Duration
+	// Begun is set once the holder may give orders to targets that ignore fencing tokens. Where the
+	// last holder may go on after a restore, it takes a write that was confirmed after UnfencedDelay.
+	Begun bool
 }
 
 // LostError is returned if the host may not give orders.
@@ -233,7 +242,18 @@
 // Unfenced reports whether no order of a previous holder can be in flight, so that
 // orders may go to targets that ignore fencing tokens.
 func (h Holding) Unfenced(now time.Time) bool {
-	return h.Valid(now) && !now.Before(h.AcquiredAt.Add(h.UnfencedDelay))
+	return h.Valid(now) && h.Begun && h.delayPassed(now)
+}
+
+// delayPassed reports whether UnfencedDelay has passed since the acquisition.
+func (h Holding) delayPassed(now time.Time) bool {
+	return !now.Before(h.AcquiredAt.Add(h.UnfencedDelay))
+}
+
+// Begin returns the state of the lease after a write was confirmed that was sent at the given time.
+func (h Holding) Begin(sent, now time.Time, confirmTime time.Duration) Holding {
+	h.Begun = h.Begun || h.delayPassed(now) && now.Sub(sent) < confirmTime
+	return h
 }
 
 // remainingDelay returns how long targets that ignore fencing tokens still get no order,
