--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// untilBegin returns the time until the write that lets this host begin to give orders, or a delay
-// if none is due.
+// untilBegin returns the time until the write that lets this host begin to give orders is due, or a
+// delay if none is.
 func (l *Lease) untilBegin(delay time.Duration) time.Duration {
 	h, now := l.currentHolding(), l.now()
 	if h.Record.FencingToken == 0 || h.Begun || h.delayPassed(now) {
@@ -318,7 +318,7 @@
 	next, ok := h.Confirm(r, row, sent)
 	isHeld := h.Record.FencingToken != 0
 	switch {
-	case ok && l.era() != r.Era && !(isHeld && next.Begun):
+	case ok && l.era() != r.Era && (!isHeld || !next.Begun):
 		// The platform was restored around the write: the row may be lost, or the version that it
 		// replaced may have had another record. No order was given by this acquisition.
 		if isHeld {
--- a/internal/server/streamread.go
+++ b/internal/server/streamread.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// RemoveStale removes the rows that have not changed for staleRowAge, but for the newest era, until ctx is
-// cancelled. Only the lease holder does.
+// RemoveStale removes the rows that have not changed for staleRowAge, but not that of the newest
+// era, until ctx is cancelled. Only the lease holder does.
 func (s *streamStore) RemoveStale(ctx context.Context) error {
 	type seen struct {
 		version uint64
