A connection that the host closes itself shows no more than one that breaks

What callers saw: nothing that was reported; a stream could go on at, or be recorded as begun by, a software version that its worker no longer runs.

Cause: the connections of a host to a target without a stated start show that it has not started again, as long as they overlap by linkOverlap (0.5 s). A connection that the host closed itself ended the overlap only if it was the last one. If the target had started again within the last half second, and the host had connected to the new start before it noticed the end of the former connection, closing that one left the start confirmed.

TestClosedConnectionConfirmsNoNewStart fails before with evidence 1 (confirmed) in place of 0.

Fix: the same overlap is needed for both ends. The start then counts from the opening of the oldest remaining connection.

--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -49,14 +49,14 @@
 }
 
 // end records the end of a connection. One that this host closed itself says nothing about a
-// restart, but does not show any more that there is none.
+// restart, but does not show any more that there is none: it may have ended unnoticed before.
 func (l *link) end(number int, closed bool, now time.Duration) {
 	if _, ok := l.openedAt[number]; !ok {
 		return
 	}
 	delete(l.openedAt, number)
 	others := slices.Sorted(maps.Values(l.openedAt))
-	if len(others) > 0 && (closed || now-others[0] >= linkOverlap) {
+	if len(others) > 0 && now-others[0] >= linkOverlap {
 		return
 	}
 	if !closed {
--- a/internal/fleet/link_test.go
+++ b/internal/fleet/link_test.go
@@ -45,3 +45,20 @@
 	read(now + LateEntryTime)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartAssumed), "the list shows no other start, but no connection is open")
 }
+
+// Guards against a target whose start counts as confirmed after a restart: this host closed the
+// connection to the former start itself before it noticed its end.
+func TestClosedConnectionConfirmsNoNewStart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Minute
+	f := New()
+	f.now = func() time.Duration { return now }
+	former := f.OpenLink("a")
+	now += LateEntryTime
+	f.RecordListRead(now)
+	f.OpenLink("a") // to a start that the list does not show yet
+	former(true)
+	g.Expect(f.StartEvidence("a")).To(Equal(StartAssumed))
+	f.RecordListRead(now + LateEntryTime)
+	g.Expect(f.StartEvidence("a")).To(Equal(StartConfirmed))
+}
