Other hosts confirm the starts of targets while the list of a host is old

What callers saw: streams of services without engines that began at a host which had just started and was then turned away by the store could not be resumed: 503 at each other host, although workers of their version served.

Cause: such targets do not state their start. A host takes one for the start of its entry if its connections have been open since 2 s before its list was current, which a host that has just started never reaches while it cannot read the list. Its streams then begin at a version of their own, with which nothing goes on.

Fix: while its list is more than 1 s old, a host asks the others of its region for those starts. One answers by its own list only, with the ages of its connections; the start is confirmed if the entries of both show it and the connections of both overlapped by linkOverlap, which shows that they lead to the same process. A break ends it.

--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -17,16 +17,19 @@
 	// openedAt holds the boot times at which the open connections were opened.
 	openedAt map[int]time.Duration
 	number   int
-	// since is the boot time from which connections have overlapped.
-	since time.Duration
+	// since is the boot time from which connections have overlapped, and dialedAt that at which the
+	// newest one of them was dialed.
+	since, dialedAt time.Duration
+	// confirmedStartMs is the start that another host has confirmed since then; zero if none has.
+	confirmedStartMs int64
 	// brokenAt is the boot time at which the last one broke with which no other one overlapped;
 	// zero if none has.
 	brokenAt time.Duration
 }
 
-// OpenLink records a connection to a target. The returned function records its end, and whether
-// this host closed it itself. Its first call counts.
-func (f *Fleet) OpenLink(id string) (end func(closed bool)) {
+// OpenLink records a connection to a target, which was dialed at a boot time. The returned function
+// records its end, and whether this host closed it itself. Its first call counts.
+func (f *Fleet) OpenLink(id string, dialedAt time.Duration) (end func(closed bool)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l, ok := f.links[id]
@@ -36,8 +39,9 @@
 	}
 	now := f.now()
 	if len(l.openedAt) == 0 {
-		l.since = now
+		l.restart(now)
 	}
+	l.dialedAt = max(l.dialedAt, dialedAt)
 	l.number++
 	number := l.number
 	l.openedAt[number] = now
@@ -63,10 +67,16 @@
 		l.brokenAt = now
 	}
 	if len(others) > 0 {
-		l.since = others[0]
+		l.restart(others[0])
 	}
 }
 
+// restart records that connections overlap from a time only: the target may have started again
+// before it. When the newest one was dialed is known again after the next one.
+func (l *link) restart(since time.Duration) {
+	l.since, l.dialedAt, l.confirmedStartMs = since, 0, 0
+}
+
 // RecordListRead records the boot time at which the list of targets was known to be current.
 func (f *Fleet) RecordListRead(at time.Duration) {
 	f.mu.Lock()
@@ -81,15 +91,14 @@
 	// StartAssumed means that nothing shows whether the target has started again.
 	StartAssumed StartEvidence = iota
 	// StartConfirmed means that connections have been open since before the list, as read last,
-	// would show another start.
+	// would show another start, or that another host has confirmed the start.
 	StartConfirmed
 	// StartDoubted means that connections broke, and that the list was not read since when it
 	// would show another start.
 	StartDoubted
 )
 
-// StartEvidence returns whether a target that does not state its start is the start of its
-// entry. An entry is written within LateEntryTime after a start.
+// StartEvidence returns whether a target that does not state its start is the start of its entry.
 func (f *Fleet) StartEvidence(id string) StartEvidence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,7 +106,7 @@
 	switch {
 	case !ok:
 		return StartAssumed
-	case len(l.openedAt) > 0 && f.listReadAt >= l.since+LateEntryTime:
+	case len(l.openedAt) > 0 && f.confirmed(id, l):
 		return StartConfirmed
 	case l.brokenAt > 0 && f.listReadAt < l.brokenAt+LateEntryTime:
 		return StartDoubted
--- a/internal/fleet/link_test.go
+++ b/internal/fleet/link_test.go
@@ -16,19 +16,19 @@
 	f.now = func() time.Duration { return now }
 	read := func(at time.Duration) { f.RecordListRead(at) }
 	g.Expect(f.StartEvidence("a")).To(Equal(StartAssumed), "no connection was opened")
-	first := f.OpenLink("a")
+	first := f.OpenLink("a", now)
 	read(now + LateEntryTime - 1)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartAssumed), "the entry may be late")
 	read(now + LateEntryTime)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartConfirmed))
 
 	now += 10 * time.Second
-	second := f.OpenLink("a")
+	second := f.OpenLink("a", now)
 	now += linkOverlap
 	first(false)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartConfirmed), "another connection overlapped")
 
-	third := f.OpenLink("a")
+	third := f.OpenLink("a", now)
 	now += linkOverlap / 2
 	second(false)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartDoubted), "the other one may have been opened after a restart")
@@ -38,7 +38,7 @@
 
 	third(true)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartAssumed), "this host closed the last connection itself")
-	fourth := f.OpenLink("a")
+	fourth := f.OpenLink("a", now)
 	now += time.Second
 	fourth(false)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartDoubted))
@@ -53,10 +53,10 @@
 	now := time.Minute
 	f := New()
 	f.now = func() time.Duration { return now }
-	former := f.OpenLink("a")
+	former := f.OpenLink("a", now)
 	now += LateEntryTime
 	f.RecordListRead(now)
-	f.OpenLink("a") // to a start that the list does not show yet
+	f.OpenLink("a", now) // to a start that the list does not show yet
 	former(true)
 	g.Expect(f.StartEvidence("a")).To(Equal(StartAssumed))
 	f.RecordListRead(now + LateEntryTime)
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -50,11 +50,12 @@
 // dialLinked connects to a target that does not state its start, and records the connection as
 // evidence of it.
 func (p *Proxy) dialLinked(ctx context.Context, network string, t *fleet.Target) (net.Conn, error) {
+	dialedAt := wire.BootTime()
 	conn, err := p.paths.DialContext(ctx, network, t.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &linkedConn{Conn: conn, end: p.fleet.OpenLink(t.ID)}, nil
+	return &linkedConn{Conn: conn, end: p.fleet.OpenLink(t.ID, dialedAt)}, nil
 }
 
 // checkEvidence finds out whether a stream may run at a target that does not state its start: one
--- a/internal/server/host.go
+++ b/internal/server/host.go
@@ -219,6 +219,7 @@
 	t.Add("callers", h.sweepCallers)
 	t.Add("probes", h.probeTargets)
 	t.Add("links", (&linkKeeper{host: h}).Run)
+	t.Add("starts", (&startVerifier{host: h}).Run)
 	t.Add("trips", h.measureTrips)
 	t.Add("stores", h.stores.Run)
 	t.Add("members", h.members.Run)
--- a/internal/server/links.go
+++ b/internal/server/links.go
@@ -74,12 +74,13 @@
 func (k *linkKeeper) open(ctx context.Context, t fleet.Target) {
 	dialCtx, cancel := context.WithTimeout(ctx, linkTimeout)
 	defer cancel()
+	dialedAt := wire.BootTime()
 	conn, err := k.host.paths.dialDirect(dialCtx, "tcp", t.Address)
 	if err != nil {
 		return // the next request or probe finds out whether the target is reachable
 	}
 	k.host.proxy.Metrics.Count("link")
-	end := k.host.fleet.OpenLink(t.ID)
+	end := k.host.fleet.OpenLink(t.ID, dialedAt)
 	go safego.Do(k.host.log, "link", func() {
 		defer func() { _ = conn.Close() }()
 		end(awaitEnd(ctx, conn))
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -149,6 +149,7 @@
 	mux.HandleFunc("POST "+tablePath, h.serveTable)
 	mux.HandleFunc("POST "+configPath, h.serveConfig)
 	mux.HandleFunc("POST "+originPath, h.serveOrigin)
+	mux.HandleFunc("POST "+startPath, h.serveStarts)
 	mux.Handle("GET "+tunnel.Path, h.tunnels)
 	return mux
 }
