--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -238,7 +238,7 @@
 // while it could store nothing has ended, or if the platform was restored.
 func (s *streamOrigins) findStored(ctx context.Context, service string, key origin.Key, answers originAnswers) proxy.OriginResult {
 	absent := s.absentFrom(service, answers)
-	complete, read, reason := s.store.complete(), false, ""
+	complete, read, gap := s.store.complete(), false, noRecordGap
 	if mayRead := !absent || complete && !s.store.failedToRead(); mayRead {
 		read = s.store.read(ctx)
 	}
@@ -246,11 +246,11 @@
 		if o, ok := s.registry.Find(key); ok {
 			return proxy.OriginFound{Origin: o, Evidence: "stored record"}
 		}
-		reason = s.store.unrecordedReason(answers)
-		if only, ok := s.onlyVersion(service); ok && complete && reason == "" {
+		gap = s.store.gapAfter(answers)
+		if only, ok := s.onlyVersion(service); ok && complete && gap == noRecordGap {
 			return s.foundOnly(service, only, "only version, no stored record")
 		}
-		absent = absent || complete && reason == ""
+		absent = absent || complete && gap == noRecordGap
 	}
 	if ctx.Err() != nil {
 		return proxy.OriginUnknown{} // a search that was broken off does not show that no record was kept
@@ -259,7 +259,7 @@
 	case !s.registry.HasSeveral(service):
 		return s.findKnownToAll(service, answers)
 	case !absent:
-		return proxy.OriginUnknown{Reason: reason}
+		return proxy.OriginUnknown{Reason: gap.String()}
 	}
 	return s.assumeBase(service, key, complete && !read)
 }
--- a/internal/server/streamintent.go
+++ b/internal/server/streamintent.go
@@ -102,20 +102,43 @@
 	return true
 }
 
-// unrecordedReason returns why a stream without a stored record may have begun at another version
-// than the base; empty if it began at the base. The last read shows which processes may have begun
-// streams without a record. Those that run on have answered that they did not begin this one.
-func (s *streamStore) unrecordedReason(a originAnswers) string {
+// recordGap says why a read may lack the record of a stream that began at another version than the
+// base.
+type recordGap int
+
+const (
+	noRecordGap recordGap = iota
+	// gapOfRestore means that a restore may have lost the record.
+	gapOfRestore
+	// gapOfWriter means that a process which may have begun the stream has not answered.
+	gapOfWriter
+)
+
+// String returns the reason for the log; empty if nothing is missing.
+func (g recordGap) String() string {
+	switch g {
+	case gapOfRestore:
+		return "the platform was restored, which may have lost the record"
+	case gapOfWriter:
+		return "a host that does not answer may have begun the stream without a stored record"
+	}
+	return ""
+}
+
+// gapAfter returns what the last read may lack, after the answers of other hosts. It shows which
+// processes may have begun streams without a record. Those that run on have answered that they did
+// not begin this one.
+func (s *streamStore) gapAfter(a originAnswers) recordGap {
 	s.mu.Lock()
 	last := s.lastRead
 	s.mu.Unlock()
 	if last.restoredBefore(s.tableEra()) {
-		return "the platform was restored, which may have lost the record"
+		return gapOfRestore
 	}
 	for w := range last.writers {
 		if w != s.writer() && !a.includes(w) {
-			return "a host that does not answer may have begun the stream without a stored record"
+			return gapOfWriter
 		}
 	}
-	return ""
+	return noRecordGap
 }
