--- a/internal/fleet/confirmed_test.go
+++ b/internal/fleet/confirmed_test.go
@@ -47,13 +47,19 @@
 	}
 }
 
+// newListedFleet returns a fleet with a clock and the entry of one target.
+func newListedFleet(now *time.Duration) *Fleet {
+	f := New()
+	f.now = func() time.Duration { return *now }
+	f.Replace([]Target{{ID: "a", Service: "llm", StartedAtMs: 7}})
+	return f
+}
+
 // Guards against an answer that counts for connections which were opened after the query.
 func TestConfirmStartOfNewConnections(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Minute
-	f := New()
-	f.now = func() time.Duration { return now }
-	f.Replace([]Target{{ID: "a", Service: "llm", StartedAtMs: 7}})
+	f := newListedFleet(&now)
 	end := f.OpenLink("a", now)
 	asked := f.UnconfirmedStarts(1)
 	now += time.Second
@@ -68,9 +74,7 @@
 func TestConfirmedStarts(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Minute
-	f := New()
-	f.now = func() time.Duration { return now }
-	f.Replace([]Target{{ID: "a", Service: "llm", StartedAtMs: 7}})
+	f := newListedFleet(&now)
 	f.OpenLink("a", now)
 	dialedAt := now + time.Second
 	now += LateEntryTime
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -71,7 +71,7 @@
 		wait := b.Wait(limit, s, now)
 		rounding := 2 * time.Millisecond
 		if wait == 0 {
-			rounding = 0 // the request may be sent now, at the end of a turn not later
+			rounding = 0 // the turn of the host may end right after now
 		}
 		if again := b.Wait(limit, s, now.Add(wait+rounding)); again > 0 && wait < MaxWait {
 			t.Fatalf("after a wait of %s the request has to wait for another %s", wait, again)
