Do not take a list that has missed a version for all software versions

What callers may see: a stream that v2 began goes on at v1 (ORDER), at a host that was cut off from the list of targets for up to 8 s while v2 was listed and removed again. Not seen in a deployment: hosts also ask the owners of a stream, so that all those that answer have to have missed v2.

Cause: the list as it is shows nothing of a target that came and went between two reads. origin.Evidence allowed gaps of 8 s (a long poll takes 6 s), in which a version can be listed, get streams after 1.5 s and vanish. docs/design/evidence.md had this among the pairs in doubt.

A longer catch-up after each gap would refuse streams after each short outage of the store.

Change: the changes of a table contain removals. A read that returns the removal of a row which the host never had shows that a target came and went (relay.History.MissedAt). For Retention after it this host alone concludes nothing from the absence of a version; answers of other hosts and stored records still do. A list that is read anew as a whole shows no removals, so a host knows as little then as after its start, and follows the list for catchUpTime again. Such a removal is logged.

Why it works: a version that can have begun a stream was listed, so its target is either in the list or among the removals, however long the gap.

The model is stricter than before: versions are listed for 3 s (5.5 s), less than a host is out of step.

--- a/internal/origin/evidence.go
+++ b/internal/origin/evidence.go
@@ -10,7 +10,7 @@
 	// delay of the reply that showed the list.
 	evidenceMargin = 250 * time.Millisecond
 	// maxListGap is the longest time between two answers of a list that is followed: it exceeds
-	// a long poll of 6 s. A call that waits returns a version as it appears.
+	// a long poll of 6 s. A version that came and went in a shorter gap shows in MissedAt.
 	maxListGap = 8 * time.Second
 	// catchUpTime is how long a host that has just started, or has had a gap, follows the list
 	// until it has also received from other hosts the versions that have vanished before.
@@ -28,6 +28,12 @@
 	// Era is the era of the platform in which it was. A list that was restored may lack versions
 	// that were listed before.
 	Era uint64
+	// ListedAt is the boot time of the last read of the whole list, which does not show what had
+	// vanished before.
+	ListedAt time.Duration
+	// MissedAt is the boot time of the last read that showed that a target has vanished which this
+	// host never listed, nor its version; zero if there was none.
+	MissedAt time.Duration
 	// followedSince is the boot time since which the list has been followed without a gap.
 	followedSince time.Duration
 }
@@ -38,16 +44,18 @@
 // Covers reports whether a stream that began before now can only have begun at a version that
 // was observed.
 func (e Evidence) Covers(now time.Duration) bool {
-	return e.CurrentAt != 0 && e.Age(now) < EvidenceTTL && now-e.followedSince >= catchUpTime
+	return e.CurrentAt != 0 && e.Age(now) < EvidenceTTL && now-e.followedSince >= catchUpTime &&
+		(e.MissedAt == 0 || now-e.MissedAt >= Retention)
 }
 
 // follow extends the evidence by a list that was current later.
 func (e *Evidence) follow(later Evidence) {
+	e.MissedAt = max(e.MissedAt, later.MissedAt)
 	if later.CurrentAt <= e.CurrentAt {
 		return
 	}
-	if e.CurrentAt == 0 || later.CurrentAt-e.CurrentAt > maxListGap || later.Era != e.Era {
+	if e.CurrentAt == 0 || later.ListedAt > e.ListedAt || later.CurrentAt-e.CurrentAt > maxListGap || later.Era != e.Era {
 		e.followedSince = later.CurrentAt
 	}
-	e.CurrentAt, e.Era = later.CurrentAt, later.Era
+	e.CurrentAt, e.ListedAt, e.Era = later.CurrentAt, later.ListedAt, later.Era
 }
--- a/internal/origin/evidence_test.go
+++ b/internal/origin/evidence_test.go
@@ -38,3 +38,27 @@
 	e.follow(Evidence{CurrentAt: at, Era: 1})
 	g.Expect(e.Covers(at)).To(BeFalse(), "a restored list lacks versions")
 }
+
+// Guards against evidence that covers a version which has come and gone while a host did not follow
+// the list, and a host which knows as little of those before its list as one that has just started.
+func TestEvidenceMissesVersionsBetweenReads(t *testing.T) {
+	g := NewWithT(t)
+	const missedAt = time.Hour
+	covered := func(at time.Duration, e Evidence) bool {
+		var followed Evidence
+		for e.CurrentAt = missedAt - time.Minute; e.CurrentAt < at; e.CurrentAt += time.Second {
+			later := e
+			if later.CurrentAt < missedAt {
+				later.ListedAt, later.MissedAt = 0, 0
+			}
+			followed.follow(later)
+		}
+		return followed.Covers(at)
+	}
+	g.Expect(covered(missedAt+time.Second, Evidence{})).To(BeTrue())
+	g.Expect(covered(missedAt+time.Second, Evidence{MissedAt: missedAt})).To(BeFalse())
+	g.Expect(covered(missedAt+Retention-time.Second, Evidence{MissedAt: missedAt})).To(BeFalse(), "its streams may be resumed")
+	g.Expect(covered(missedAt+Retention, Evidence{MissedAt: missedAt})).To(BeTrue())
+	g.Expect(covered(missedAt+time.Second, Evidence{ListedAt: missedAt})).To(BeFalse())
+	g.Expect(covered(missedAt+catchUpTime+time.Second, Evidence{ListedAt: missedAt})).To(BeTrue())
+}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,7 +62,7 @@
 const (
 	simulatedHosts = 5
 	simulatedStep  = 50 * time.Millisecond
-	// maxOutSteps bounds the time for which a host is out of step: 4 s.
+	// maxOutSteps bounds the time after which a host that is out of step may be so again: 4 s.
 	maxOutSteps = 80
 	// firstOutStep is the step before the second version appears, at which a host gets out of
 	// step. By then it has followed the list for catchUpTime.
@@ -70,9 +71,9 @@
 	// the messages of the others. Together they are below SettleTime.
 	maxListLag    = time.Second
 	maxMessageLag = 600 * time.Millisecond
-	// minListedSteps is the least number of steps for which a version is listed. It exceeds
-	// maxOutSteps: a list does not show what has vanished, only records and other hosts do.
-	minListedSteps = 110
+	// minListedSteps is the least number of steps for which a version is listed: 3 s, about three
+	// heartbeats. It is below maxOutSteps.
+	minListedSteps = 60
 )
 
 // simulation is a service whose versions change, before hosts that see it late.
@@ -86,6 +87,8 @@
 	// outUntil is the step until which a host is out of step: it reads no list and gets no
 	// messages.
 	outUntil []int
+	// missedAt is the time at which a host last read a list in which a version has come and gone.
+	missedAt []time.Duration
 	step     int
 	streams  []simulatedStream
 }
@@ -98,9 +101,10 @@
 func (s *simulation) exchange() {
 	for i, h := range s.hosts {
 		if s.step >= s.outUntil[i] {
-			s.read[i] = max(s.step-s.listLag[i], 0)
+			s.readList(i)
 		}
-		h.Observe(listed(s.lists[s.read[i]]...), Evidence{CurrentAt: time.Duration(s.read[i]) * simulatedStep}, s.now())
+		e := Evidence{CurrentAt: time.Duration(s.read[i]) * simulatedStep, MissedAt: s.missedAt[i]}
+		h.Observe(listed(s.lists[s.read[i]]...), e, s.now())
 	}
 	if s.step%int(maxMessageLag/simulatedStep) != 0 {
 		return
@@ -114,6 +118,19 @@
 	}
 }
 
+// readList lets a host read the list, which shows that a target has vanished which it never listed.
+func (s *simulation) readList(host int) {
+	last, read := s.read[host], max(s.step-s.listLag[host], 0)
+	for _, versions := range s.lists[last:read] {
+		for _, v := range versions {
+			if !slices.Contains(s.lists[last], v) && !slices.Contains(s.lists[read], v) {
+				s.missedAt[host] = s.now()
+			}
+		}
+	}
+	s.read[host] = read
+}
+
 // begin begins a stream at a host and one of the versions that it lists and may use.
 func (s *simulation) begin(t *rapid.T, host int) {
 	h, list := s.hosts[host], s.lists[s.read[host]]
@@ -136,7 +153,7 @@
 // out of step.
 func TestHostGuessesNoVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{listLag: make([]int, simulatedHosts), read: make([]int, simulatedHosts), outUntil: make([]int, simulatedHosts)}
+		s := &simulation{listLag: make([]int, simulatedHosts), read: make([]int, simulatedHosts), outUntil: make([]int, simulatedHosts), missedAt: make([]time.Duration, simulatedHosts)}
 		for i := range simulatedHosts {
 			s.hosts = append(s.hosts, New())
 			s.listLag[i] = rapid.IntRange(0, int(maxListLag/simulatedStep)).Draw(t, "lag")
--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -11,6 +11,16 @@
 // behind list it from the platform instead.
 const maxKeys = 4096
 
+// History says which changes of a table a host may not have received. Times are boot times, and zero
+// if there was no such read.
+type History struct {
+	// ListedAt is the time of the last read of all rows: it does not show what was removed before.
+	ListedAt time.Duration
+	// MissedAt is the time of the last read that returned the removal of a row which the host never
+	// had.
+	MissedAt time.Duration
+}
+
 // changeLog holds the rows of a table and their changes since a position: for each key
 // the newest row, or its removal.
 type changeLog struct {
@@ -20,6 +30,8 @@
 	complete bool
 	// currentAt is the boot time at which the table was last known to be at position.
 	currentAt time.Duration
+	// history says which changes may be missing, also before since.
+	history History
 	// failing says that the last read from the platform failed, and cutOff that one
 	// failed while it received data and none has succeeded since.
 	failing, cutOff bool
@@ -27,7 +39,19 @@
 
 // reset restarts the log without changes at a position.
 func (l *changeLog) reset(position feed.Position, currentAt time.Duration) {
-	*l = changeLog{since: position, position: position, rows: map[string]feed.Row{}, currentAt: currentAt}
+	*l = changeLog{since: position, position: position, rows: map[string]feed.Row{}, currentAt: currentAt, history: l.history}
+}
+
+// missed returns the key of a row that changes remove and that the log does not have; false if there
+// is none.
+func (l *changeLog) missed(changes []feed.Row) (string, bool) {
+	for _, r := range changes {
+		known, ok := l.rows[r.Key]
+		if r.Removed && (!ok || known.Removed) && known.Position().Before(r.Position()) {
+			return r.Key, true
+		}
+	}
+	return "", false
 }
 
 // setAll records all rows of the table at a position. If the log had all rows of the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -303,6 +303,16 @@
 	return at
 }
 
+// History returns which changes of a table this host may not have received.
+func (r *Relay) History(table string) History {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.logs[table]; ok {
+		return l.history
+	}
+	return History{}
+}
+
 // FailedAt returns the boot time at which the last failed call to the platform for a table
 // started; zero if none has failed.
 func (r *Relay) FailedAt(table string) time.Duration {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -74,6 +76,7 @@
 	defer r.mu.Unlock()
 	if l := r.log(table); !position.Before(l.position) {
 		l.setAll(rows, position, currentAt)
+		l.history.ListedAt = r.now()
 	}
 }
 
@@ -227,10 +230,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(table)
+	r.noteMissed(table, l, rows)
 	l.add(after, rows, position, answeredAt)
 	l.failing, l.cutOff = false, false
 }
 
+// noteMissed records whether changes that are added to a log show that rows were added and removed
+// between two reads. The caller holds mu.
+func (r *Relay) noteMissed(table string, l *changeLog, changes []feed.Row) {
+	key, ok := l.missed(changes)
+	if !ok {
+		return
+	}
+	l.history.MissedAt = r.now()
+	r.logger.Info("platform table: a removed row was never received", zap.String("table", table), zap.String("key", key))
+}
+
 // fetchFromHub queries the hub for the changes that it has announced and records
 // them for queries of other hosts; false if the hub does not have all of them.
 func (r *Relay) fetchFromHub(ctx context.Context, s hubState, q Query) ([]feed.Row, feed.Position, bool) {
@@ -245,6 +260,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.log(q.Table)
+	r.noteMissed(q.Table, l, a.Rows)
 	l.add(q.after(), a.Rows, a.position(), currentAt)
 	l.failing = false
 	return a.Rows, a.position(), true
--- a/internal/server/origins.go
+++ b/internal/server/origins.go
@@ -91,7 +91,10 @@
 	e := origin.Evidence{CurrentAt: time.Duration(s.listAt.Load())}
 	if p := s.listPosition.Load(); p != nil {
 		e.Era = p.Era
-		e.CurrentAt = max(e.CurrentAt, s.host.tables.CurrentAt(s.host.platform.TargetTable(), *p))
+		table := s.host.platform.TargetTable()
+		e.CurrentAt = max(e.CurrentAt, s.host.tables.CurrentAt(table, *p))
+		history := s.host.tables.History(table) // last, as it must not be older than CurrentAt
+		e.ListedAt, e.MissedAt = history.ListedAt, history.MissedAt
 	}
 	return e
 }
--- a/internal/server/outofstep_test.go
+++ b/internal/server/outofstep_test.go
@@ -12,9 +12,11 @@
 	. "github.com/onsi/gomega"
 
 	"sesamehill.example/sesamehill/internal/bound"
+	"sesamehill.example/sesamehill/internal/feed"
 	"sesamehill.example/sesamehill/internal/fleet"
 	"sesamehill.example/sesamehill/internal/origin"
 	"sesamehill.example/sesamehill/internal/proxy"
+	"sesamehill.example/sesamehill/internal/relay"
 	"sesamehill.example/sesamehill/internal/table"
 	"sesamehill.example/sesamehill/internal/wire"
 )
@@ -30,13 +32,32 @@
 	s.host.members.rows["b000"] = row
 	s.host.fleet, s.host.peerClient = fleet.New(), newPeerClient(bound.NewPool(peerPoolBytes))
 	r, current := origin.New(), wire.BootTime()-listAge
-	for at := current - 10*time.Second; at <= current; at += time.Second {
-		r.Observe(map[string][]string{"llm": {"v1"}}, origin.Evidence{CurrentAt: at}, at)
+	listedAt := current - 10*time.Second
+	for at := listedAt; at <= current; at += time.Second {
+		r.Observe(map[string][]string{"llm": {"v1"}}, origin.Evidence{CurrentAt: at, ListedAt: listedAt}, at)
 	}
 	s.registry, s.versions.registry, s.store.registry = r, r, r
 	return s
 }
 
+const targetTable = "targets"
+
+// discoveredTargets is a platform with a list of targets.
+type discoveredTargets struct{ Platform }
+
+func (discoveredTargets) TargetTable() string { return targetTable }
+
+// removedTarget is a list from which a target has vanished that it never showed.
+type removedTarget struct{}
+
+func (removedTarget) List(context.Context, string) ([]feed.Row, feed.Position, error) {
+	return nil, feed.Position{Version: 1}, nil
+}
+
+func (removedTarget) Changes(context.Context, string, feed.Position, time.Duration) ([]feed.Row, feed.Position, error) {
+	return []feed.Row{{Key: "t", Version: 3, Removed: true}}, feed.Position{Version: 3}, nil
+}
+
 var _ = Describe("the origin of a stream at a host that knows one software version", func() {
 	var t *keyedTable
 	BeforeEach(func() { t = &keyedTable{rows: map[string]table.Row{}} })
@@ -100,6 +121,25 @@
 		Expect(find(0, originReply{Single: "v2"})).To(HaveField("Origin.Software", "v2"))
 	})
 
+	// Guards against a stream that goes on at v1, the only version that the host has received, although
+	// v2 came and went while the host was cut off, and began it.
+	It("is the stored one if the removal of an unknown target came", func() {
+		writer := &streamStore{host: memberHost(1, true), table: t}
+		writer.add([]origin.Begun{{Origin: v2, Keys: []origin.Key{origin.NewKey("first")}}})
+		Expect(writer.writeRows(context.Background())).To(BeTrue())
+		s := singleVersionOrigins(t, 0, originReply{})
+		sinceRead := time.Minute // the list was first read before
+		clock := relay.WithClock(func() time.Duration { return wire.BootTime() - sinceRead })
+		s.host.platform, s.host.tables = discoveredTargets{}, relay.New(removedTarget{}, nil, clock)
+		_, listed, err := s.host.tables.List(context.Background(), targetTable)
+		Expect(err).NotTo(HaveOccurred())
+		sinceRead = 0
+		_, changed, err := s.host.tables.Changes(context.Background(), targetTable, listed, 0)
+		Expect(err).NotTo(HaveOccurred())
+		s.recordListRead(changed)
+		Expect(s.Find(context.Background(), "llm", "first")).To(HaveField("Origin.Software", "v2"))
+	})
+
 	// Guards against hosts that are cut off together and take the refused connections to the others
 	// for the end of those.
 	It("is unknown if a host that has sent nothing for long refuses the connection", func() {
