Bound queries for the starts of targets by their size

Where the names of targets are longer than about 60 bytes, each query of 16 is over 1 KiB and refused by the other host, so that no start is confirmed and streams that begin with an old list cannot be taken up (LOST), as before.

Change: a query holds as many names as fit; the others come with a later one, as the order is random. The other queries between hosts have a fixed size.

--- a/internal/server/starts.go
+++ b/internal/server/starts.go
@@ -21,9 +21,12 @@
 	startQueryTimeout  = 300 * time.Millisecond
 	// startListAge is the age of the list of targets from which other hosts are queried. Below
 	// it, the list will show the starts by itself.
-	startListAge = fleet.LateEntryTime / 2
-	// maxStartsQueried keeps a query below maxQueryBytes.
+	startListAge     = fleet.LateEntryTime / 2
 	maxStartsQueried = 16
+	// maxStartQueryBytes bounds the names of targets in a query, with textHeaderBytes each, so that
+	// the query stays below maxQueryBytes.
+	maxStartQueryBytes = maxQueryBytes - 16
+	textHeaderBytes    = 3
 )
 
 // startQuery is a query for the starts of some targets.
@@ -31,6 +34,19 @@
 	Targets []string `cbor:"1,keyasint"`
 }
 
+// newStartQuery returns a query for as many of some starts as it can hold.
+func newStartQuery(starts []fleet.LinkedStart) startQuery {
+	var q startQuery
+	free := maxStartQueryBytes
+	for _, s := range starts {
+		if size := len(s.Target) + textHeaderBytes; size <= free {
+			free -= size
+			q.Targets = append(q.Targets, s.Target)
+		}
+	}
+	return q
+}
+
 // startReply holds the starts that the list of the host confirms.
 type startReply struct {
 	Confirmed []fleet.ConfirmedStart `cbor:"1,keyasint,omitempty"`
@@ -65,10 +81,7 @@
 	}
 	peer := peers[v.queries%len(peers)]
 	v.queries++
-	q := startQuery{Targets: make([]string, len(asked))}
-	for i, a := range asked {
-		q.Targets[i] = a.Target
-	}
+	q := newStartQuery(asked)
 	ctx, cancel := context.WithTimeout(ctx, startQueryTimeout)
 	defer cancel()
 	var reply startReply
