--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -20,8 +20,9 @@
 // current within EvidenceTTL, which is shorter: it does not take the version that it has observed
 // for the only one. Where no settled version serves, streams begin at the others, and their records are
 // stored and sent before their callers get events. A version that has vanished counts
-// for Retention, as streams that it began may still be resumed. So does a target that came and went
-// between two reads of the list, whose version nobody here knows: only its removal shows.
+// for Retention, as streams that it began may still be resumed. So does an unknown
+// version of a target that was added and removed between two reads of the list: only the removal is
+// received.
 //
 // A start that no entry shows yet has a label in place of a version, which all hosts know to be
 // another one. Once its entry is received, the label stands for the version in it.
--- a/internal/origin/evidence.go
+++ b/internal/origin/evidence.go
@@ -10,7 +10,7 @@
 	// delay of the reply that showed the list.
 	evidenceMargin = 250 * time.Millisecond
 	// maxListGap is the longest time between two answers of a list that is followed: it exceeds
-	// a long poll of 6 s. A version that came and went in a shorter gap shows in MissedAt.
+	// a long poll of 6 s. A version that was added and removed in a shorter gap is in MissedAt.
 	maxListGap = 8 * time.Second
 	// catchUpTime is how long a host that has just started, or has had a gap, follows the list
 	// until it has also received from other hosts the versions that have vanished before.
@@ -31,8 +31,8 @@
 	// ListedAt is the boot time of the last read of the whole list, which does not show what had
 	// vanished before.
 	ListedAt time.Duration
-	// MissedAt is the boot time of the last read that showed that a target has vanished which this
-	// host never listed, nor its version; zero if there was none.
+	// MissedAt is the boot time of the last read that returned the removal of a target which this host
+	// had not received, so that its version is unknown; zero if there was none.
 	MissedAt time.Duration
 	// followedSince is the boot time since which the list has been followed without a gap.
 	followedSince time.Duration
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -13,8 +13,8 @@
 
 const service = "llm"
 
-// modelChecks is the number of random runs of the model. It took 455 and 578 to show the faults of two
-// other rules for gaps.
+// modelChecks is the number of random runs of the model. Faults in how gaps are handled take several
+// hundred runs to show.
 const modelChecks = "1000"
 
 func init() {
